--- /dev/null
+++ b/internal/declarer/answer.go
@@ -0,0 +1,94 @@
+package declarer
+
+import (
+	"time"
+)
+
+// Ending is how a request ended: Complete, Failed, Refused or Unverifiable.
+type Ending interface{ isEnding() }
+
+// Complete is the ending of a job whose tasks all succeeded.
+type Complete struct {
+	Outputs [][]byte `cbor:"1,keyasint"` // one a task, in the order of the tasks
+}
+
+// Failed is the ending of a job that was started and did not complete.
+type Failed struct {
+	Cause    FailureCause  `cbor:"1,keyasint"`
+	Detail   string        `cbor:"2,keyasint"`
+	Outcomes []TaskOutcome `cbor:"3,keyasint"` // one a task, in the order of the tasks
+}
+
+// Refused is the ending of a request of whose submission nothing ever started.
+type Refused struct {
+	Cause      RefusalCause  `cbor:"1,keyasint"`
+	Detail     string        `cbor:"2,keyasint"`
+	RetryAfter time.Duration `cbor:"3,keyasint"` // 0: coming back is of no use
+}
+
+// Unverifiable is the ending of an attempt that started nothing, where an
+// earlier attempt at the same submission may have.
+type Unverifiable struct {
+	Cause      UnverifiableCause `cbor:"1,keyasint"`
+	Detail     string            `cbor:"2,keyasint"`
+	RetryAfter time.Duration     `cbor:"3,keyasint"` // 0: coming back is of no use
+}
+
+func (Complete) isEnding()     {}
+func (Failed) isEnding()       {}
+func (Refused) isEnding()      {}
+func (Unverifiable) isEnding() {}
+
+// TaskOutcome says what is known of one task of a failed job.
+type TaskOutcome string
+
+// The task outcomes.
+const (
+	NeverStarted TaskOutcome = "neverStarted"
+	Ran          TaskOutcome = "ran"     // started and ended, with or without success
+	Unknown      TaskOutcome = "unknown" // may have started; its end was not seen
+)
+
+// FailureCause says why a started job failed.
+type FailureCause string
+
+// The failure causes.
+const (
+	TaskFailed       FailureCause = "taskFailed"
+	DeadlineExceeded FailureCause = "deadlineExceeded"
+	Cancelled        FailureCause = "cancelled"
+	BackendLost      FailureCause = "backendLost"
+	RunnerLost       FailureCause = "runnerLost" // the entry VM that ran the job is gone
+	ShutDown         FailureCause = "shutDown"
+)
+
+// RefusalCause says why a request was refused with nothing run.
+type RefusalCause string
+
+// The refusal causes.
+const (
+	BadRequest        RefusalCause = "badRequest"
+	UnknownProfile    RefusalCause = "unknownProfile"
+	RetiredProfile    RefusalCause = "retiredProfile"
+	TooLarge          RefusalCause = "tooLarge" // more tasks than the profile allows
+	DoesNotFit        RefusalCause = "doesNotFit"
+	QueueFull         RefusalCause = "queueFull"
+	OverQuota         RefusalCause = "overQuota"
+	DeadlineTooShort  RefusalCause = "deadlineTooShort"
+	NoCapacity        RefusalCause = "noCapacity"
+	ShuttingDown      RefusalCause = "shuttingDown"
+	CancelledInQueue  RefusalCause = "cancelledInQueue"
+	SubmissionExpired RefusalCause = "submissionExpired"
+)
+
+// UnverifiableCause says why it can't be told whether an earlier attempt started.
+type UnverifiableCause string
+
+// The causes of an unverifiable ending.
+const (
+	HomeUnreachable UnverifiableCause = "homeUnreachable" // the VMs that hold the claim can't be asked now
+	RecordsLost     UnverifiableCause = "recordsLost"     // the VMs that held the claim are gone
+	RecordExpired   UnverifiableCause = "recordExpired"   // the id is older than records are kept
+	AnswerLost      UnverifiableCause = "answerLost"      // the job ran; its answer went with its VM
+	BodyMismatch    UnverifiableCause = "bodyMismatch"    // the id was used with another body
+)
--- /dev/null
+++ b/internal/peermessenger/codec.go
@@ -0,0 +1,91 @@
+package peermessenger
+
+import (
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxMessageSize bounds an encoded message, in bytes.
+const MaxMessageSize = 16 << 20
+
+const (
+	maxNesting  = 16
+	maxElements = 1 << 17
+)
+
+// envelope is the wire form of a message.
+type envelope struct {
+	Kind uint16          `cbor:"1,keyasint"`
+	Body cbor.RawMessage `cbor:"2,keyasint"`
+}
+
+// kinds maps each message type to its number on the wire. Numbers are never
+// reused; each duty has its own hundred.
+var kinds = map[uint16]reflect.Type{
+	100: reflect.TypeFor[SubmitJob](),
+	101: reflect.TypeFor[AttachJob](),
+	102: reflect.TypeFor[CancelJob](),
+	103: reflect.TypeFor[JobReply](),
+}
+
+var (
+	numbers = invert(kinds)
+	decMode = newDecMode()
+)
+
+func invert(m map[uint16]reflect.Type) map[reflect.Type]uint16 {
+	inverted := make(map[reflect.Type]uint16, len(m))
+	for number, t := range m {
+		inverted[t] = number
+	}
+	return inverted
+}
+
+func newDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Encode returns the wire form of a message.
+func Encode(m Message) (data []byte, err error) {
+	defer func() { err = errors.Wrapf(err, "encoding peer message %T", m) }()
+	number, ok := numbers[reflect.TypeOf(m)]
+	if !ok {
+		return nil, errors.New("the type has no number")
+	}
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(envelope{Kind: number, Body: body})
+}
+
+// Decode returns the message in its wire form.
+func Decode(data []byte) (m Message, err error) {
+	defer func() { err = errors.Wrap(err, "decoding peer message") }()
+	if len(data) > MaxMessageSize {
+		return nil, errors.Newf("%d bytes are above the bound of %d", len(data), MaxMessageSize)
+	}
+	var e envelope
+	if err := decMode.Unmarshal(data, &e); err != nil {
+		return nil, err
+	}
+	t, ok := kinds[e.Kind]
+	if !ok {
+		return nil, errors.Newf("unknown kind %d", e.Kind)
+	}
+	v := reflect.New(t)
+	if err := decMode.Unmarshal(e.Body, v.Interface()); err != nil {
+		return nil, err
+	}
+	return v.Elem().Interface().(Message), nil
+}
--- /dev/null
+++ b/internal/peermessenger/jobmessages.go
@@ -0,0 +1,51 @@
+package peermessenger
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// RequestNumber pairs a peer's reply with its request. It is unique for one
+// sending process.
+type RequestNumber uint64
+
+// SubmitJob forwards a caller's submission to the home of its id.
+type SubmitJob struct {
+	Number RequestNumber `cbor:"1,keyasint"`
+	Job    declarer.Job  `cbor:"2,keyasint"`
+}
+
+// AttachJob asks the home of an id for the job's ending.
+type AttachJob struct {
+	Number     RequestNumber           `cbor:"1,keyasint"`
+	Submission identifier.SubmissionID `cbor:"2,keyasint"`
+	Team       identifier.Team         `cbor:"3,keyasint"`
+	Wait       time.Duration           `cbor:"4,keyasint"`
+}
+
+// CancelJob asks the home of an id to cancel the job.
+type CancelJob struct {
+	Number     RequestNumber           `cbor:"1,keyasint"`
+	Submission identifier.SubmissionID `cbor:"2,keyasint"`
+	Team       identifier.Team         `cbor:"3,keyasint"`
+}
+
+// JobReply answers SubmitJob, AttachJob and CancelJob. At most one of the
+// endings is set; none is set while the job is running or when it is not known.
+type JobReply struct {
+	Number       RequestNumber          `cbor:"1,keyasint"`
+	Known        bool                   `cbor:"2,keyasint"`
+	Ended        int                    `cbor:"3,keyasint"` // tasks ended so far
+	Tasks        int                    `cbor:"4,keyasint"`
+	Complete     *declarer.Complete     `cbor:"5,keyasint,omitempty"`
+	Failed       *declarer.Failed       `cbor:"6,keyasint,omitempty"`
+	Refused      *declarer.Refused      `cbor:"7,keyasint,omitempty"`
+	Unverifiable *declarer.Unverifiable `cbor:"8,keyasint,omitempty"`
+}
+
+func (SubmitJob) isPeerMessage() {}
+func (AttachJob) isPeerMessage() {}
+func (CancelJob) isPeerMessage() {}
+func (JobReply) isPeerMessage()  {}
