feat(jobsubmitter): add the client library of the callers' API

Cause: the commands, the load tool and services need one client that keeps a submission's id over attempts.

Answers are typed endings; what breaks the API is a typed error.

--- /dev/null
+++ b/internal/jobsubmitter/balancer.go
@@ -0,0 +1,136 @@
+package jobsubmitter
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// balancer picks a ready entry VM for each request.
+type balancer struct {
+	client *http.Client
+
+	mu  sync.Mutex
+	rng *rand.Rand
+	vms []vmState
+}
+
+type vmState struct {
+	address string
+	ready   bool
+	domain  identifier.FailureDomain // "" until it is learned
+}
+
+func newBalancer(addresses []string, transport http.RoundTripper, rng *rand.Rand) *balancer {
+	b := &balancer{
+		client: &http.Client{Transport: transport},
+		rng:    rng,
+		vms:    make([]vmState, len(addresses)),
+	}
+	for i, address := range addresses {
+		b.vms[i] = vmState{address: address, ready: true}
+	}
+	return b
+}
+
+// pick returns a ready entry VM other than avoid, if there is one. When none
+// is ready, it returns any: the attempt itself is then the check.
+func (b *balancer) pick(avoid string) vmState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ready, others []vmState
+	for _, vm := range b.vms {
+		if vm.address == avoid {
+			continue
+		}
+		others = append(others, vm)
+		if vm.ready {
+			ready = append(ready, vm)
+		}
+	}
+	switch {
+	case len(ready) > 0:
+		return ready[b.rng.IntN(len(ready))]
+	case len(others) > 0:
+		return others[b.rng.IntN(len(others))]
+	default:
+		return b.vms[b.rng.IntN(len(b.vms))]
+	}
+}
+
+func (b *balancer) mark(address string, ready bool, domain identifier.FailureDomain) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.vms {
+		if b.vms[i].address != address {
+			continue
+		}
+		b.vms[i].ready = ready
+		if domain != "" {
+			b.vms[i].domain = domain
+		}
+	}
+}
+
+// learn notes the failure domain of an entry VM.
+func (b *balancer) learn(address string, domain identifier.FailureDomain) {
+	if domain == "" {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range b.vms {
+		if b.vms[i].address == address {
+			b.vms[i].domain = domain
+		}
+	}
+}
+
+func (b *balancer) drop(address string) { b.mark(address, false, "") }
+
+func (b *balancer) addresses() []string {
+	addresses := make([]string, len(b.vms))
+	for i, vm := range b.vms {
+		addresses[i] = vm.address
+	}
+	return addresses
+}
+
+// watch checks one entry VM's readiness until the context ends.
+func (b *balancer) watch(ctx context.Context, address string, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.probe(ctx, address)
+		}
+	}
+}
+
+// probe asks one entry VM whether it is ready, and learns its failure domain.
+func (b *balancer) probe(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		b.drop(address)
+		return
+	}
+	response, err := b.client.Do(r)
+	if err != nil {
+		b.drop(address)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, probeAnswerLimit))
+	domain := identifier.FailureDomain(response.Header.Get(failureDomainHeader))
+	b.mark(address, response.StatusCode == http.StatusOK, domain)
+}
--- /dev/null
+++ b/internal/jobsubmitter/exchange.go
@@ -0,0 +1,205 @@
+package jobsubmitter
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// call is one request of a caller, which may take several attempts.
+type call struct {
+	submission identifier.SubmissionID
+	method     string
+	path       string
+	body       func(attempt int) ([]byte, error) // nil: no body
+	first      string                            // the entry VM to ask first; "": any
+}
+
+// run sends the call until it is answered, its attempts are used up or the
+// retry budget is empty.
+func (s *Submitter) run(ctx context.Context, c call) (answer Answer, err error) {
+	s.budget.earn()
+	avoid := ""
+	for attempt := 1; ; attempt++ {
+		address := s.target(c, attempt, avoid)
+		answer, err = s.attempt(ctx, c, address, attempt)
+		answer.Attempts = attempt
+		pause, again := s.pauseAfter(answer, err, attempt)
+		if !again || ctx.Err() != nil || attempt >= s.opts.Attempts || !s.budget.spend() {
+			return answer, s.finalError(c, err, attempt)
+		}
+		if err != nil {
+			avoid = address
+		}
+		if sleepErr := sleep(ctx, pause); sleepErr != nil {
+			if err == nil {
+				return answer, nil
+			}
+			return answer, s.finalError(c, err, attempt)
+		}
+	}
+}
+
+func (s *Submitter) target(c call, attempt int, avoid string) string {
+	if attempt == 1 && c.first != "" {
+		return c.first
+	}
+	return s.balancer.pick(avoid).address
+}
+
+// pauseAfter says whether to attempt again, and after which pause.
+func (s *Submitter) pauseAfter(answer Answer, err error, attempt int) (pause time.Duration, again bool) {
+	if err != nil {
+		return s.backoff(attempt), isLost(err)
+	}
+	if s.opts.KeepRefusals {
+		return 0, false
+	}
+	retryAfter := retryAfterOf(answer.Ending)
+	if retryAfter <= 0 || retryAfter > longestRetryAfter {
+		return 0, false
+	}
+	return s.spread(retryAfter), true
+}
+
+func retryAfterOf(ending declarer.Ending) time.Duration {
+	switch e := ending.(type) {
+	case declarer.Refused:
+		return e.RetryAfter
+	case declarer.Unverifiable:
+		return e.RetryAfter
+	default:
+		return 0
+	}
+}
+
+// lostError marks an attempt whose connection or answer was lost.
+type lostError struct{ cause error }
+
+func (e *lostError) Error() string { return e.cause.Error() }
+func (e *lostError) Unwrap() error { return e.cause }
+
+func isLost(err error) bool {
+	var lost *lostError
+	return errors.As(err, &lost)
+}
+
+func (s *Submitter) finalError(c call, err error, attempts int) error {
+	if err == nil || !isLost(err) {
+		return err
+	}
+	return &UnansweredError{Submission: c.submission, Attempts: attempts, Last: err}
+}
+
+// attempt sends the call once.
+func (s *Submitter) attempt(ctx context.Context, c call, address string, attempt int) (answer Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.RequestTimeout)
+	defer cancel()
+	r, err := s.newRequest(ctx, c, address, attempt)
+	if err != nil {
+		return Answer{}, err
+	}
+	response, err := s.client.Do(r)
+	if err != nil {
+		s.noteLost(ctx, address)
+		return Answer{}, &lostError{cause: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := s.readBody(response, address)
+	if err != nil {
+		return Answer{}, err
+	}
+	domain := identifier.FailureDomain(response.Header.Get(failureDomainHeader))
+	s.balancer.learn(address, domain)
+	answer, err = parseAnswer(c.submission, address, response, body)
+	answer.Domain = domain
+	return answer, err
+}
+
+// noteLost drops an entry VM whose connection failed, but not one whose answer
+// only took longer than the caller wanted to wait.
+func (s *Submitter) noteLost(ctx context.Context, address string) {
+	if ctx.Err() == nil {
+		s.balancer.drop(address)
+	}
+}
+
+func (s *Submitter) newRequest(ctx context.Context, c call, address string, attempt int) (r *http.Request, err error) {
+	defer func() { err = errors.Wrap(err, "building the request") }()
+	var body io.Reader
+	if c.body != nil {
+		encoded, err := c.body(attempt)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	r, err = http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, body)
+	if err != nil {
+		return nil, err
+	}
+	if c.body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	if s.opts.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+s.opts.Token)
+	}
+	return r, nil
+}
+
+func (s *Submitter) readBody(response *http.Response, address string) (body []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(response.Body, s.opts.AnswerLimit+1))
+	if err != nil {
+		return nil, &lostError{cause: errors.Wrap(err, "reading the answer")}
+	}
+	if int64(len(body)) > s.opts.AnswerLimit {
+		return nil, &MalformedAnswerError{Address: address, Status: response.StatusCode, Reason: "the body is over the limit"}
+	}
+	return body, nil
+}
+
+// parseAnswer decodes one answer and checks that it is one of the callers' API
+// and belongs to the submission.
+func parseAnswer(
+	submission identifier.SubmissionID, address string, response *http.Response, body []byte,
+) (answer Answer, err error) {
+	var decoded answerBody
+	if err := json.Unmarshal(body, &decoded); err != nil {
+		malformed := &MalformedAnswerError{Address: address, Status: response.StatusCode, Reason: err.Error()}
+		if isGatewayStatus(response.StatusCode) {
+			return Answer{}, &lostError{cause: malformed}
+		}
+		return Answer{}, malformed
+	}
+	if decoded.SubmissionID != "" && decoded.SubmissionID != submission {
+		return Answer{}, &WrongSubmissionError{Want: submission, Got: decoded.SubmissionID}
+	}
+	if decoded.Ending == endingUnknown && response.StatusCode == http.StatusNotFound {
+		return Answer{}, &UnknownSubmissionError{Submission: submission, Detail: decoded.Detail}
+	}
+	decoded.adoptRetryAfter(response.Header)
+	ending, ok := decoded.ending(response.StatusCode)
+	if !ok {
+		reason := "the ending is " + decoded.Ending
+		return Answer{}, &MalformedAnswerError{Address: address, Status: response.StatusCode, Reason: reason}
+	}
+	return Answer{
+		Submission: submission,
+		Ending:     ending,
+		Ended:      decoded.Ended,
+		Tasks:      decoded.Tasks,
+		Address:    address,
+	}, nil
+}
+
+func isGatewayStatus(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
--- /dev/null
+++ b/internal/jobsubmitter/options.go
@@ -0,0 +1,106 @@
+package jobsubmitter
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults and bounds of Options.
+const (
+	DefaultAttempts       = 4
+	DefaultRequestTimeout = 30 * time.Second
+	DefaultBackoff        = 20 * time.Millisecond
+	DefaultMaxBackoff     = 2 * time.Second
+	DefaultProbeInterval  = 250 * time.Millisecond
+	DefaultAnswerLimit    = 64 << 20 // bytes
+
+	maxAddresses           = 1024
+	idleConnectionsPerVM   = 512
+	connectTimeout         = time.Second
+	probeTimeout           = time.Second
+	probeAnswerLimit       = 64 << 10 // bytes
+	retryBudgetCapacity    = 100.0    // retries that may be saved up
+	retryBudgetPerRequest  = 0.2      // retries that each first attempt earns
+	longestRetryAfter      = 30 * time.Second
+	fetchWait              = 5 * time.Second
+	smallestRequestTimeout = 10 * time.Millisecond
+)
+
+// Options configures a Submitter. The zero value of a field takes its default.
+type Options struct {
+	// Addresses are the entry VMs' callers' addresses, as IP and port.
+	Addresses []string
+	// Token is the bearer token that names the caller's team.
+	Token string
+	// Attempts bounds the attempts at one submission, the first included.
+	Attempts int
+	// RequestTimeout bounds one attempt.
+	RequestTimeout time.Duration
+	// Backoff is the longest pause before the second attempt. It doubles with
+	// each further attempt, up to MaxBackoff. The pause is drawn evenly below it.
+	Backoff    time.Duration
+	MaxBackoff time.Duration
+	// ProbeInterval is the pause between two checks of an entry VM's readiness.
+	ProbeInterval time.Duration
+	// AnswerLimit bounds the body of one answer, in bytes.
+	AnswerLimit int64
+	// KeepRefusals returns a refusal at once, also if it says when to come back.
+	KeepRefusals bool
+	// Seed seeds the choice of entry VMs and the jitter of pauses.
+	Seed uint64
+	// Transport overrides the HTTP transport.
+	Transport http.RoundTripper
+}
+
+func (o Options) validate() error {
+	if len(o.Addresses) == 0 {
+		return errors.New("addresses: at least one entry VM is needed")
+	}
+	if len(o.Addresses) > maxAddresses {
+		return errors.Newf("addresses: %d entry VMs are more than %d", len(o.Addresses), maxAddresses)
+	}
+	for _, address := range o.Addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return errors.Wrapf(err, "addresses: %q", address)
+		}
+	}
+	if o.Attempts < 0 {
+		return errors.Newf("attempts: %d is below 0", o.Attempts)
+	}
+	if o.RequestTimeout != 0 && o.RequestTimeout < smallestRequestTimeout {
+		return errors.Newf("requestTimeout: %v is below %v", o.RequestTimeout, smallestRequestTimeout)
+	}
+	return nil
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Attempts, DefaultAttempts)
+	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
+	setDefault(&o.Backoff, DefaultBackoff)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&o.ProbeInterval, DefaultProbeInterval)
+	setDefault(&o.AnswerLimit, DefaultAnswerLimit)
+	if o.Transport == nil {
+		o.Transport = newTransport()
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnectionsPerVM,
+		DisableCompression:  true,
+	}
+}
--- /dev/null
+++ b/internal/jobsubmitter/submitter.go
@@ -0,0 +1,93 @@
+package jobsubmitter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Submitter sends requests to the entry VMs. It is safe for concurrent use.
+type Submitter struct {
+	opts     Options
+	client   *http.Client
+	balancer *balancer
+	budget   *retryBudget
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// New returns a Submitter after one check of each entry VM's readiness. Close
+// ends its later checks.
+func New(ctx context.Context, opts Options) (s *Submitter, err error) {
+	defer func() { err = errors.Wrap(err, "starting the submitter") }()
+	if err := opts.validate(); err != nil {
+		return nil, err
+	}
+	opts = opts.withDefaults()
+	s = &Submitter{
+		opts:     opts,
+		client:   &http.Client{Transport: opts.Transport},
+		balancer: newBalancer(opts.Addresses, opts.Transport, rand.New(rand.NewPCG(opts.Seed, 1))),
+		budget:   newRetryBudget(),
+		rng:      rand.New(rand.NewPCG(opts.Seed, 2)),
+	}
+	s.probeAll(ctx)
+	watchCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.cancel = cancel
+	for _, address := range s.balancer.addresses() {
+		s.wg.Go(func() { s.balancer.watch(watchCtx, address, opts.ProbeInterval) })
+	}
+	return s, nil
+}
+
+// Close ends the readiness checks and waits for them.
+func (s *Submitter) Close() {
+	s.cancel()
+	s.wg.Wait()
+	s.client.CloseIdleConnections()
+}
+
+func (s *Submitter) probeAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, address := range s.balancer.addresses() {
+		wg.Go(func() { s.balancer.probe(ctx, address) })
+	}
+	wg.Wait()
+}
+
+// backoff returns the pause before the attempt after the given one.
+func (s *Submitter) backoff(attempt int) time.Duration {
+	ceiling := s.opts.MaxBackoff
+	if shift := attempt - 1; shift < 32 {
+		ceiling = min(ceiling, s.opts.Backoff<<shift)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.rng.Int64N(int64(ceiling) + 1))
+}
+
+// spread adds up to a fifth to a pause, so that callers don't return together.
+func (s *Submitter) spread(pause time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return pause + time.Duration(s.rng.Int64N(int64(pause)/5+1))
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
