--- /dev/null
+++ b/internal/profileparser/schema.go
@@ -0,0 +1,172 @@
+package profileparser
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Bounds of the fields.
+const (
+	MaxTasksLimit        = 1_900            // tasks of one job
+	MaxDeadline          = 10 * time.Minute // longest deadline of a job
+	MinDeadline          = 10 * time.Millisecond
+	MaxPriority          = 9
+	MaxWeight            = 1_000
+	MaxQuota             = 1_000_000 // slots
+	MaxQuotas            = 500       // teams that one profile names
+	MaxRetryBudget       = 1.0
+	MaxQueueBound        = 1_000_000 // tasks
+	MaxResponseOverIdeal = 100.0
+	MaxTarget            = 0.99999
+	MinWindow            = time.Hour
+	MaxWindow            = 90 * 24 * time.Hour
+	MaxDescriptionLength = 1_000 // bytes
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-zA-Z][a-zA-Z0-9]{0,63}$`)
+	teamPattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
+)
+
+// ValidTeam reports whether a name can name a team: a letter or digit, then up
+// to 63 letters, digits, dots, hyphens and underscores.
+func ValidTeam(team identifier.Team) bool { return teamPattern.MatchString(string(team)) }
+
+// setter checks one value and stores it in a profile.
+type setter func(p *Profile, n *yaml.Node) error
+
+// schema maps the path of each field to its check.
+var schema = map[string]setter{
+	"name": func(p *Profile, n *yaml.Node) error {
+		if !namePattern.MatchString(n.Value) {
+			return errors.Newf("%q is not a letter followed by up to 63 letters and digits", n.Value)
+		}
+		p.Name = identifier.ProfileName(n.Value)
+		return nil
+	},
+	"description":  text(MaxDescriptionLength, func(p *Profile) *string { return &p.Description }),
+	"deadline":     duration(MinDeadline, MaxDeadline, func(p *Profile) *time.Duration { return &p.Deadline }),
+	"maxTasks":     integer(1, MaxTasksLimit, func(p *Profile) *int { return &p.MaxTasks }),
+	"priority":     integer(0, MaxPriority, func(p *Profile) *int { return &p.Priority }),
+	"weight":       integer(1, MaxWeight, func(p *Profile) *int { return &p.Weight }),
+	"defaultQuota": integer(0, MaxQuota, func(p *Profile) *identifier.Slots { return &p.DefaultQuota }),
+	"repeatable":   boolean(func(p *Profile) *bool { return &p.Repeatable }),
+	"retryBudget":  fraction(0, MaxRetryBudget, func(p *Profile) *float64 { return &p.RetryBudget }),
+	"queueBound":   integer(1, MaxQueueBound, func(p *Profile) *int { return &p.QueueBound }),
+	"cancellation": oneOf(func(p *Profile) *Cancellation { return &p.Cancellation }, Stop, LetRun),
+
+	"placement.policy":         oneOf(func(p *Profile) *Policy { return &p.Placement.Policy }, Reserve, TwoChoices, Random),
+	"placement.spill":          boolean(func(p *Profile) *bool { return &p.Placement.Spill }),
+	"placement.responseWeight": integer(0, MaxWeight, func(p *Profile) *int { return &p.Placement.ResponseWeight }),
+	"placement.messageWeight":  integer(0, MaxWeight, func(p *Profile) *int { return &p.Placement.MessageWeight }),
+
+	"whileStoreDown": oneOf(func(p *Profile) *Reachability { return &p.WhileStoreDown }, Serve, Refuse),
+	"whileCutOff":    oneOf(func(p *Profile) *Reachability { return &p.WhileCutOff }, Serve, Refuse),
+
+	"objective.target":            fraction(0, MaxTarget, func(p *Profile) *float64 { return &p.Objective.Target }),
+	"objective.responseOverIdeal": fraction(1, MaxResponseOverIdeal, func(p *Profile) *float64 { return &p.Objective.ResponseOverIdeal }),
+	"objective.window":            duration(MinWindow, MaxWindow, func(p *Profile) *time.Duration { return &p.Objective.Window }),
+
+	"retired": boolean(func(p *Profile) *bool { return &p.Retired }),
+}
+
+// setQuota checks the quota of one team, the entry below quotas.
+func setQuota(p *Profile, team string, n *yaml.Node) error {
+	if !ValidTeam(identifier.Team(team)) {
+		return errors.Newf("%q is not a team's name: a letter or digit, then up to 63 letters, digits, dots, hyphens and underscores", team)
+	}
+	if len(p.Quotas) >= MaxQuotas {
+		return errors.Newf("more than %d teams", MaxQuotas)
+	}
+	var quota identifier.Slots
+	if err := integer(0, MaxQuota, func(*Profile) *identifier.Slots { return &quota })(p, n); err != nil {
+		return err
+	}
+	if p.Quotas == nil {
+		p.Quotas = make(map[identifier.Team]identifier.Slots)
+	}
+	p.Quotas[identifier.Team(team)] = quota
+	return nil
+}
+
+func text(limit int, field func(*Profile) *string) setter {
+	return func(p *Profile, n *yaml.Node) error {
+		if len(n.Value) > limit {
+			return errors.Newf("%d bytes are above the bound of %d", len(n.Value), limit)
+		}
+		*field(p) = n.Value
+		return nil
+	}
+}
+
+func integer[T ~int](least, most T, field func(*Profile) *T) setter {
+	return func(p *Profile, n *yaml.Node) error {
+		v, err := strconv.ParseInt(n.Value, 10, 64)
+		if err != nil || n.Tag != "!!int" {
+			return errors.Newf("%q is not a whole number", n.Value)
+		}
+		if v < int64(least) || v > int64(most) {
+			return errors.Newf("%d is not between %d and %d", v, least, most)
+		}
+		*field(p) = T(v)
+		return nil
+	}
+}
+
+func fraction(least, most float64, field func(*Profile) *float64) setter {
+	return func(p *Profile, n *yaml.Node) error {
+		v, err := strconv.ParseFloat(n.Value, 64)
+		if err != nil || (n.Tag != "!!float" && n.Tag != "!!int") {
+			return errors.Newf("%q is not a number", n.Value)
+		}
+		if !(v >= least && v <= most) { // also refuses NaN
+			return errors.Newf("%v is not between %v and %v", v, least, most)
+		}
+		*field(p) = v
+		return nil
+	}
+}
+
+func boolean(field func(*Profile) *bool) setter {
+	return func(p *Profile, n *yaml.Node) error {
+		if n.Tag != "!!bool" || (n.Value != "true" && n.Value != "false") {
+			return errors.Newf("%q is neither true nor false", n.Value)
+		}
+		*field(p) = n.Value == "true"
+		return nil
+	}
+}
+
+func duration(least, most time.Duration, field func(*Profile) *time.Duration) setter {
+	return func(p *Profile, n *yaml.Node) error {
+		v, err := time.ParseDuration(n.Value)
+		if err != nil {
+			return errors.Newf("%q is not a duration with a unit, such as 500ms, 2s or 720h", n.Value)
+		}
+		if v < least || v > most {
+			return errors.Newf("%v is not between %v and %v", v, least, most)
+		}
+		*field(p) = v
+		return nil
+	}
+}
+
+func oneOf[T ~string](field func(*Profile) *T, choices ...T) setter {
+	return func(p *Profile, n *yaml.Node) error {
+		for _, choice := range choices {
+			if n.Value == string(choice) {
+				*field(p) = choice
+				return nil
+			}
+		}
+		return errors.Newf("%q is none of %s", n.Value, strings.Trim(fmt.Sprint(choices), "[]"))
+	}
+}
