--- /dev/null
+++ b/internal/callerserver/options.go
@@ -0,0 +1,28 @@
+package callerserver
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Options configure a Server.
+type Options struct {
+	Dispatcher   Dispatcher
+	Authenticate func(r *http.Request) (identifier.Team, error) // errors carry the status code through StatusCoder
+	Domain       identifier.FailureDomain
+	MaxBodyBytes int64
+	MaxTasks     int
+	MaxRequests  int
+	MaxWait      time.Duration
+	Ready        func() bool
+	Metrics      http.Handler // serves /debug/vars
+	Logger       log.Logger
+}
+
+// StatusCoder is implemented by errors of authentication that name their HTTP
+// status code, 401 or 403.
+type StatusCoder interface{ StatusCode() int }
--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -28,6 +28,7 @@
 	101: reflect.TypeFor[AttachJob](),
 	102: reflect.TypeFor[CancelJob](),
 	103: reflect.TypeFor[JobReply](),
+	110: reflect.TypeFor[PeerTable](),
 }
 
 var (
--- /dev/null
+++ b/internal/peermessenger/peermessages.go
@@ -0,0 +1,18 @@
+package peermessenger
+
+import "github.com/peppertrack/peppertrack/internal/identifier"
+
+// PeerTable tells a peer which entry VMs the sender is linked to, so that a
+// new VM needs to know only one address to find all.
+type PeerTable struct {
+	Peers []PeerAddress `cbor:"1,keyasint"`
+}
+
+// PeerAddress is where an entry VM listens for its peers.
+type PeerAddress struct {
+	VM      identifier.VMID          `cbor:"1,keyasint"`
+	Domain  identifier.FailureDomain `cbor:"2,keyasint"`
+	Address string                   `cbor:"3,keyasint"`
+}
+
+func (PeerTable) isPeerMessage() {}
--- /dev/null
+++ b/internal/settingsloader/check.go
@@ -0,0 +1,162 @@
+package settingsloader
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"time"
+)
+
+const (
+	maxNameLength     = 63
+	maxFailureDomains = 256
+	maxPeers          = 256
+	maxPlatformWait   = time.Minute
+	maxRetention      = 24 * time.Hour
+	maxShutdown       = 10 * time.Minute
+	maxTasksOfJob     = 100_000
+	maxBody           = 64 << 20
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// check returns the first field that is out of bounds.
+func check(s Settings, l locator) error {
+	checks := []func(Settings, locator) error{
+		checkNames, checkListen, checkPeers, checkPlatform, checkCallers, checkRecords, checkTLS,
+	}
+	for _, c := range checks {
+		if err := c(s, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkNames(s Settings, l locator) error {
+	if err := checkName(string(s.VM), "vm", l); err != nil {
+		return err
+	}
+	if err := checkName(string(s.FailureDomain), "failureDomain", l); err != nil {
+		return err
+	}
+	if len(s.FailureDomains) > maxFailureDomains {
+		return l.fail("failureDomains", fmt.Sprintf("has more than %d entries", maxFailureDomains))
+	}
+	for _, d := range s.FailureDomains {
+		if err := checkName(string(d), "failureDomains", l); err != nil {
+			return err
+		}
+	}
+	if !slices.Contains(s.FailureDomains, s.FailureDomain) {
+		return l.fail("failureDomains", fmt.Sprintf("does not hold this VM's own %q", s.FailureDomain))
+	}
+	return nil
+}
+
+func checkName(name, field string, l locator) error {
+	if len(name) > maxNameLength || !namePattern.MatchString(name) {
+		return l.fail(field, fmt.Sprintf("%q is not a name of at most %d lower-case letters, digits and inner hyphens", name, maxNameLength))
+	}
+	return nil
+}
+
+func checkListen(s Settings, l locator) error {
+	fields := []struct{ name, address string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.operators", s.Listen.Operators},
+		{"listen.peers", s.Listen.Peers},
+	}
+	for _, f := range fields {
+		if err := checkAddress(f.address, f.name, l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkAddress(address, field string, l locator) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return l.fail(field, fmt.Sprintf("%q is not an IP number and port", address))
+	}
+	return nil
+}
+
+func checkPeers(s Settings, l locator) error {
+	if len(s.Peers) > maxPeers {
+		return l.fail("peers", fmt.Sprintf("has more than %d entries", maxPeers))
+	}
+	for _, p := range s.Peers {
+		if err := checkAddress(p, "peers", l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkPlatform(s Settings, l locator) error {
+	u, err := url.Parse(s.Platform.URL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return l.fail("platform.url", fmt.Sprintf("%q is not an http or https URL", s.Platform.URL))
+	}
+	if err := checkDuration(s.Platform.Timeout, maxPlatformWait, "platform.timeout", l); err != nil {
+		return err
+	}
+	return checkDuration(s.Platform.VMListInterval, maxPlatformWait, "platform.vmListInterval", l)
+}
+
+func checkCallers(s Settings, l locator) error {
+	if err := checkCount(s.Callers.MaxBodyBytes, maxBody, "callers.maxBodyBytes", l); err != nil {
+		return err
+	}
+	if err := checkCount(int64(s.Callers.MaxTasks), maxTasksOfJob, "callers.maxTasks", l); err != nil {
+		return err
+	}
+	if err := checkCount(int64(s.Callers.MaxRequests), 1<<20, "callers.maxRequests", l); err != nil {
+		return err
+	}
+	if !s.Callers.RequireTokens && s.Callers.OpenTeam == "" {
+		return l.fail("callers.openTeam", "is empty while no tokens are required")
+	}
+	return checkDuration(s.Callers.MaxWait, time.Hour, "callers.maxWait", l)
+}
+
+func checkRecords(s Settings, l locator) error {
+	if err := checkDuration(s.Records.Retention, maxRetention, "records.retention", l); err != nil {
+		return err
+	}
+	if err := checkDuration(s.Records.ClockBound, time.Minute, "records.clockBound", l); err != nil {
+		return err
+	}
+	if err := checkCount(int64(s.Records.MaxCount), 1<<24, "records.maxCount", l); err != nil {
+		return err
+	}
+	return checkDuration(s.Shutdown.Timeout, maxShutdown, "shutdown.timeout", l)
+}
+
+func checkTLS(s Settings, l locator) error {
+	t := s.TLS
+	if t == (TLS{}) {
+		return nil
+	}
+	if t.CertificateFile == "" || t.KeyFile == "" || t.AuthorityFile == "" {
+		return l.fail("tls", "needs certificateFile, keyFile and authorityFile together")
+	}
+	return nil
+}
+
+func checkDuration(d, most time.Duration, field string, l locator) error {
+	if d <= 0 || d > most {
+		return l.fail(field, fmt.Sprintf("%v is not above 0 and at most %v", d, most))
+	}
+	return nil
+}
+
+func checkCount(n, most int64, field string, l locator) error {
+	if n <= 0 || n > most {
+		return l.fail(field, fmt.Sprintf("%d is not from 1 to %d", n, most))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settingsloader/load.go
@@ -0,0 +1,103 @@
+package settingsloader
+
+import (
+	"bytes"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// MaxFileSize bounds a file of settings, in bytes.
+const MaxFileSize = 1 << 20
+
+const environmentPrefix = "PEPPERTRACK_SET_"
+
+// Sources are where settings come from, the later ones over the earlier ones.
+type Sources struct {
+	FileName string   // for error messages
+	File     []byte   // YAML
+	Environ  []string // KEY=value; PEPPERTRACK_SET_listen__callers sets listen.callers
+	Flags    []string // path.to.key=value
+}
+
+// Load returns the checked settings of the sources over the defaults.
+func Load(s Sources) (settings Settings, err error) {
+	defer func() { err = errors.Wrap(err, "loading settings") }()
+	if len(s.File) > MaxFileSize {
+		return Settings{}, errors.Newf("%s has %d bytes, above the bound of %d", s.FileName, len(s.File), MaxFileSize)
+	}
+	settings = Default()
+	if err := decodeStrict(s.File, &settings); err != nil {
+		return Settings{}, errors.Wrap(err, s.FileName)
+	}
+	for _, entry := range s.Environ {
+		if err := overlayEnvironment(entry, &settings); err != nil {
+			return Settings{}, err
+		}
+	}
+	for _, entry := range s.Flags {
+		if err := overlay("flag", entry, &settings); err != nil {
+			return Settings{}, err
+		}
+	}
+	if err := check(settings, newLocator(s.FileName, s.File)); err != nil {
+		return Settings{}, err
+	}
+	return settings, nil
+}
+
+// Encode returns settings as YAML.
+func Encode(settings Settings) (data []byte, err error) {
+	defer func() { err = errors.Wrap(err, "encoding settings") }()
+	return yaml.Marshal(settings)
+}
+
+func decodeStrict(data []byte, settings *Settings) error {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	dec.KnownFields(true)
+	err := dec.Decode(settings)
+	if errors.Is(err, io.EOF) {
+		return nil // an empty document changes nothing
+	}
+	return err
+}
+
+func overlayEnvironment(entry string, settings *Settings) error {
+	rest, ok := strings.CutPrefix(entry, environmentPrefix)
+	if !ok {
+		return nil
+	}
+	key, value, _ := strings.Cut(rest, "=")
+	path := strings.ReplaceAll(key, "__", ".")
+	return overlay("environment", path+"="+value, settings)
+}
+
+// overlay sets one field, given as path.to.key=value, where value is YAML.
+func overlay(source, entry string, settings *Settings) error {
+	path, value, ok := strings.Cut(entry, "=")
+	if !ok {
+		return &FieldError{Source: source, Field: entry, Problem: "is not of the form key=value"}
+	}
+	document := nest(strings.Split(path, "."), value)
+	if err := decodeStrict([]byte(document), settings); err != nil {
+		return &FieldError{Source: source, Field: path, Problem: err.Error()}
+	}
+	return nil
+}
+
+// nest returns a YAML document in which the keys lead to the value.
+func nest(keys []string, value string) string {
+	var b strings.Builder
+	for depth, key := range keys {
+		b.WriteString(strings.Repeat("  ", depth))
+		b.WriteString(key)
+		b.WriteString(":")
+		if depth < len(keys)-1 {
+			b.WriteString("\n")
+		}
+	}
+	b.WriteString(" " + value + "\n")
+	return b.String()
+}
--- /dev/null
+++ b/internal/settingsloader/settings.go
@@ -0,0 +1,66 @@
+// Package settingsloader reads and checks the settings of an entry VM's daemon.
+package settingsloader
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Settings are the settings of one entry VM.
+type Settings struct {
+	VM             identifier.VMID            `yaml:"vm"`
+	FailureDomain  identifier.FailureDomain   `yaml:"failureDomain"`
+	FailureDomains []identifier.FailureDomain `yaml:"failureDomains"` // all of the deployment, in one order everywhere
+	Listen         Listen                     `yaml:"listen"`
+	Peers          []string                   `yaml:"peers"` // addresses of some peers, each an IP and port
+	Platform       Platform                   `yaml:"platform"`
+	Callers        Callers                    `yaml:"callers"`
+	Records        Records                    `yaml:"records"`
+	Shutdown       Shutdown                   `yaml:"shutdown"`
+	TLS            TLS                        `yaml:"tls"`
+}
+
+// Listen holds the addresses to listen on, each an IP and port.
+type Listen struct {
+	Callers   string `yaml:"callers"`
+	Operators string `yaml:"operators"`
+	Peers     string `yaml:"peers"`
+}
+
+// Platform says how to reach the platform's key-value service.
+type Platform struct {
+	URL            string        `yaml:"url"`
+	Timeout        time.Duration `yaml:"timeout"`        // of one call
+	VMListInterval time.Duration `yaml:"vmListInterval"` // between two reads of the list of VMs
+}
+
+// Callers bounds what callers may ask for.
+type Callers struct {
+	RequireTokens bool            `yaml:"requireTokens"`
+	OpenTeam      identifier.Team `yaml:"openTeam"` // the team of every caller when no tokens are required
+	MaxBodyBytes  int64           `yaml:"maxBodyBytes"`
+	MaxTasks      int             `yaml:"maxTasks"`    // of one job
+	MaxRequests   int             `yaml:"maxRequests"` // open at one time
+	MaxWait       time.Duration   `yaml:"maxWait"`     // of one fetch
+}
+
+// Records says how long and how many records of submissions are kept.
+type Records struct {
+	Retention  time.Duration `yaml:"retention"`  // from the creation of the submission id
+	ClockBound time.Duration `yaml:"clockBound"` // largest difference between two clocks
+	MaxCount   int           `yaml:"maxCount"`
+}
+
+// Shutdown bounds a graceful shutdown.
+type Shutdown struct {
+	Timeout time.Duration `yaml:"timeout"`
+}
+
+// TLS names the files of the certificates between our own processes. All
+// empty: plain connections.
+type TLS struct {
+	CertificateFile string `yaml:"certificateFile"`
+	KeyFile         string `yaml:"keyFile"`
+	AuthorityFile   string `yaml:"authorityFile"`
+}
