feat(peppertrack): share client flags and exit codes between commands

Cause: every command that talks to a server needs the same flags, the same order of sources and exit codes that scripts can rely on.

--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -15,17 +15,29 @@
 	root.SetIn(stdin)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
+	err := root.Execute()
+	if err != nil {
 		fmt.Fprintf(stderr, "peppertrack: %v\n", err)
-		return 1
 	}
-	return 0
+	return int(exitCodeOf(err))
 }
 
 func newRootCmd() *cobra.Command {
-	return &cobra.Command{
-		Use:           "peppertrack",
-		SilenceUsage:  true,
-		SilenceErrors: true,
-	}
+	root := newGroupCmd("peppertrack", "Submit jobs, and drive the dispatcher by profiles",
+		newVersionCmd(),
+	)
+	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
+
+Commands that talk to a server take --server, --token and --output from flags,
+else from the environment, else from the file that ` + envConfig + `
+names, else from peppertrack/client.yaml in the user's configuration directory.
+
+Exit codes: 0 done, 1 failed, 2 wrong flags or arguments, 3 conflict with
+somebody else's change, 4 refused, or the server is out of reach.`
+	root.SilenceUsage = true
+	root.SilenceErrors = true
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
+		return usageErrorf("%w; see %s --help", err, cmd.CommandPath())
+	})
+	return root
 }
--- /dev/null
+++ b/cmd/peppertrack/internal/cmd/script_test.go
@@ -0,0 +1,40 @@
+package cmd
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain lets scripts run the program as the command peppertrack.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"peppertrack": func() { os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs each script in testdata/scripts. A script's command
+// "exitcode N args..." runs peppertrack and holds its exit code to N.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:  "testdata/scripts",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exitcode": exitcodeCmd},
+	})
+}
+
+func exitcodeCmd(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 1 {
+		ts.Fatalf("usage: exitcode N args...")
+	}
+	err := ts.Exec("peppertrack", args[1:]...)
+	got := "0"
+	if coded, ok := err.(interface{ ExitCode() int }); ok {
+		got = string(rune('0' + coded.ExitCode()))
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if got != args[0] {
+		ts.Fatalf("exit code %s, want %s", got, args[0])
+	}
+}
