feat(authenticator): tell teams and operators by bearer tokens

Cause: a team must not read, cancel or spend what is another's, and only operators may change profiles. The check of team names moves to identifier, which both packages use. Conclusion: a table test covers missing, malformed, unknown, retired and misused tokens; FuzzHeader has its seeds in the tests.

--- /dev/null
+++ b/internal/authenticator/authenticator.go
@@ -0,0 +1,169 @@
+// Package authenticator tells from bearer tokens which team of callers or which
+// operator makes a request.
+//
+// Only hashes of tokens are kept. A token is 256 random bits, so that a plain
+// SHA-256 of it can't be searched; hashes are compared in constant time.
+package authenticator
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"strings"
+	"sync/atomic"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// OpenTeam is the team of callers without a token when no tokens are asked for.
+const OpenTeam identifier.Team = "local"
+
+// OpenOperator is the operator's name when no tokens are asked for.
+const OpenOperator = "local"
+
+// BootstrapOperator is the name of the operator who holds the token of the settings.
+const BootstrapOperator = "bootstrap"
+
+const (
+	scheme          = "bearer"
+	maxHeaderLength = 512 // bytes
+)
+
+// Options configure an Authenticator.
+type Options struct {
+	// Open asks for no tokens: for a system on loopback alone. A caller's bearer
+	// token then is the name of its team.
+	Open bool
+	// Bootstrap is the hash of an operator's token that is valid without any
+	// record, so that the first operator can create the others. The zero hash
+	// allows none.
+	Bootstrap Hash
+}
+
+// Authenticator checks bearer tokens against the records last loaded. Its
+// methods may be called by several goroutines.
+type Authenticator struct {
+	options Options
+	records atomic.Pointer[map[TokenID]Record]
+}
+
+// New returns an Authenticator without records.
+func New(options Options) *Authenticator {
+	a := &Authenticator{options: options}
+	a.Load(nil)
+	return a
+}
+
+// Load replaces the records.
+func (a *Authenticator) Load(records []Record) {
+	byID := make(map[TokenID]Record, len(records))
+	for _, record := range records {
+		byID[record.ID] = record
+	}
+	a.records.Store(&byID)
+}
+
+// Caller returns the team that an Authorization header names. The errors are
+// *UnauthenticatedError and *ForbiddenError.
+func (a *Authenticator) Caller(header string) (identifier.Team, error) {
+	if a.options.Open {
+		return openTeam(header)
+	}
+	token, err := tokenIn(header)
+	if err != nil {
+		return "", err
+	}
+	record, err := a.verify(token)
+	if err != nil {
+		return "", err
+	}
+	if record.Team == "" {
+		return "", &ForbiddenError{Detail: "an operator's token submits no jobs"}
+	}
+	return record.Team, nil
+}
+
+// Operator returns the name of the operator that an Authorization header names.
+// The errors are *UnauthenticatedError and *ForbiddenError.
+func (a *Authenticator) Operator(header string) (string, error) {
+	if a.options.Open {
+		return OpenOperator, nil
+	}
+	token, err := tokenIn(header)
+	if err != nil {
+		return "", err
+	}
+	if a.isBootstrap(token) {
+		return BootstrapOperator, nil
+	}
+	record, err := a.verify(token)
+	if err != nil {
+		return "", err
+	}
+	if record.Operator == "" {
+		return "", &ForbiddenError{Detail: fmt.Sprintf("the token of team %s gives no control", record.Team)}
+	}
+	return record.Operator, nil
+}
+
+func (a *Authenticator) isBootstrap(token Token) bool {
+	hash := token.Hash()
+	equal := subtle.ConstantTimeCompare(hash[:], a.options.Bootstrap[:]) == 1
+	return equal && a.options.Bootstrap != Hash{}
+}
+
+// verify returns the record of a token that is in force.
+func (a *Authenticator) verify(token Token) (Record, error) {
+	record, known := (*a.records.Load())[token.ID]
+	hash := token.Hash()
+	equal := subtle.ConstantTimeCompare(hash[:], record.Hash[:]) == 1
+	if !known || !equal {
+		return Record{}, &UnauthenticatedError{Detail: "the token is not known"}
+	}
+	if record.Retired {
+		return Record{}, &UnauthenticatedError{Detail: fmt.Sprintf("token %s is retired", record.ID)}
+	}
+	return record, nil
+}
+
+// tokenIn returns the token of a header of the form "Bearer <token>".
+func tokenIn(header string) (Token, error) {
+	value, err := bearerValue(header)
+	if err != nil {
+		return Token{}, err
+	}
+	token, err := ParseToken(value)
+	if err != nil {
+		return Token{}, &UnauthenticatedError{Detail: "the token is malformed"}
+	}
+	return token, nil
+}
+
+func bearerValue(header string) (string, error) {
+	if header == "" {
+		return "", &UnauthenticatedError{Detail: "the Authorization header is missing"}
+	}
+	if len(header) > maxHeaderLength {
+		return "", &UnauthenticatedError{Detail: fmt.Sprintf("the Authorization header is longer than %d bytes", maxHeaderLength)}
+	}
+	name, value, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(name, scheme) || value == "" {
+		return "", &UnauthenticatedError{Detail: "the Authorization header is not of the form Bearer <token>"}
+	}
+	return value, nil
+}
+
+// openTeam returns the team that a header names when no tokens are asked for.
+func openTeam(header string) (identifier.Team, error) {
+	if header == "" {
+		return OpenTeam, nil
+	}
+	value, err := bearerValue(header)
+	if err != nil {
+		return "", err
+	}
+	team := identifier.Team(value)
+	if !identifier.ValidTeam(team) {
+		return "", &UnauthenticatedError{Detail: "the bearer token is not a team's name"}
+	}
+	return team, nil
+}
--- /dev/null
+++ b/internal/authenticator/authenticator_test.go
@@ -0,0 +1,113 @@
+package authenticator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+const (
+	accepted = iota
+	unauthenticated
+	forbidden
+)
+
+func kindOf(err error) int {
+	var missing *UnauthenticatedError
+	var denied *ForbiddenError
+	switch {
+	case err == nil:
+		return accepted
+	case errors.As(err, &missing):
+		return unauthenticated
+	case errors.As(err, &denied):
+		return forbidden
+	}
+	return -1
+}
+
+func TestAuthenticator(t *testing.T) {
+	team, operator, retired, stranger, bootstrap := NewToken(), NewToken(), NewToken(), NewToken(), NewToken()
+	a := New(Options{Bootstrap: bootstrap.Hash()})
+	a.Load([]Record{
+		{ID: team.ID, Hash: team.Hash(), Team: "desk"},
+		{ID: operator.ID, Hash: operator.Hash(), Operator: "ada"},
+		{ID: retired.ID, Hash: retired.Hash(), Team: "desk", Retired: true},
+	})
+	otherSecret := stranger
+	otherSecret.ID = team.ID
+	for _, tt := range []struct {
+		name             string
+		header           string
+		caller, operator int
+	}{
+		{"team", "Bearer " + team.Reveal(), accepted, forbidden},
+		{"scheme in other case", "bEARER " + team.Reveal(), accepted, forbidden},
+		{"operator", "Bearer " + operator.Reveal(), forbidden, accepted},
+		{"bootstrap", "Bearer " + bootstrap.Reveal(), unauthenticated, accepted},
+		{"retired", "Bearer " + retired.Reveal(), unauthenticated, unauthenticated},
+		{"unknown", "Bearer " + stranger.Reveal(), unauthenticated, unauthenticated},
+		{"other secret", "Bearer " + otherSecret.Reveal(), unauthenticated, unauthenticated},
+		{"missing", "", unauthenticated, unauthenticated},
+		{"basic", "Basic " + team.Reveal(), unauthenticated, unauthenticated},
+		{"malformed", "Bearer desk", unauthenticated, unauthenticated},
+		{"long", "Bearer " + strings.Repeat("a", maxHeaderLength), unauthenticated, unauthenticated},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			gotTeam, err := a.Caller(tt.header)
+			if kindOf(err) != tt.caller || (err == nil) != (gotTeam == "desk") {
+				t.Errorf("Caller() = %q, %v", gotTeam, err)
+			}
+			gotOperator, err := a.Operator(tt.header)
+			if kindOf(err) != tt.operator || (err == nil) != (gotOperator == "ada" || gotOperator == BootstrapOperator) {
+				t.Errorf("Operator() = %q, %v", gotOperator, err)
+			}
+		})
+	}
+}
+
+// TestNoBootstrap holds that the zero hash of the options opens nothing.
+func TestNoBootstrap(t *testing.T) {
+	a := New(Options{})
+	if name, err := a.Operator("Bearer " + NewToken().Reveal()); kindOf(err) != unauthenticated {
+		t.Errorf("Operator() = %q, %v", name, err)
+	}
+}
+
+func TestOpen(t *testing.T) {
+	a := New(Options{Open: true})
+	for header, want := range map[string]identifier.Team{"": OpenTeam, "Bearer desk": "desk", "Bearer a/b": "", "Basic a": ""} {
+		got, err := a.Caller(header)
+		if got != want || (err == nil) != (want != "") {
+			t.Errorf("Caller(%q) = %q, %v, want %q", header, got, err, want)
+		}
+	}
+	if name, err := a.Operator(""); err != nil || name != OpenOperator {
+		t.Errorf("Operator() = %q, %v", name, err)
+	}
+}
+
+// FuzzHeader holds that no header is accepted but those of known tokens, and
+// that what parses as a token is written back alike.
+func FuzzHeader(f *testing.F) {
+	known := NewToken()
+	a := New(Options{Bootstrap: NewToken().Hash()})
+	a.Load([]Record{{ID: known.ID, Hash: known.Hash(), Team: "desk"}})
+	for _, seed := range []string{"", "Bearer ", "Bearer pt__", "Bearer " + NewToken().Reveal(), "Basic a", "Bearer pt_" + string(known.ID) + "_AAAA"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, header string) {
+		if team, err := a.Caller(header); err == nil {
+			t.Fatalf("Caller(%q) = %q", header, team)
+		}
+		if name, err := a.Operator(header); err == nil {
+			t.Fatalf("Operator(%q) = %q", header, name)
+		}
+		if token, err := ParseToken(header); err == nil && token.Reveal() != header {
+			t.Fatalf("ParseToken(%q) is written %q", header, token.Reveal())
+		}
+	})
+}
--- a/internal/profileparser/schema.go
+++ b/internal/profileparser/schema.go
@@ -31,14 +31,7 @@
 	MaxDescriptionLength = 1_000 // bytes
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[a-zA-Z][a-zA-Z0-9]{0,63}$`)
-	teamPattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
-)
-
-// ValidTeam reports whether a name can name a team: a letter or digit, then up
-// to 63 letters, digits, dots, hyphens and underscores.
-func ValidTeam(team identifier.Team) bool { return teamPattern.MatchString(string(team)) }
+var namePattern = regexp.MustCompile(`^[a-zA-Z][a-zA-Z0-9]{0,63}$`)
 
 // setter checks one value and stores it in a profile.
 type setter func(p *Profile, n *yaml.Node) error
@@ -80,7 +73,7 @@
 
 // setQuota checks the quota of one team, the entry below quotas.
 func setQuota(p *Profile, team string, n *yaml.Node) error {
-	if !ValidTeam(identifier.Team(team)) {
+	if !identifier.ValidTeam(identifier.Team(team)) {
 		return errors.Newf("%q is not a team's name: a letter or digit, then up to 63 letters, digits, dots, hyphens and underscores", team)
 	}
 	if len(p.Quotas) >= MaxQuotas {
