--- /dev/null
+++ b/internal/estimator/options.go
@@ -0,0 +1,6 @@
+package estimator
+
+// Options configure an Estimator.
+type Options struct {
+	MaxProfiles int // 0 takes DefaultMaxProfiles
+}
--- /dev/null
+++ b/internal/placer/backendset.go
@@ -0,0 +1,48 @@
+package placer
+
+// setKind selects the position that a backend server has in a backendSet.
+type setKind int
+
+const (
+	usableSet setKind = iota // placeable on the local view
+	setKinds
+)
+
+// notMember is the position of a backend server that is not in the set.
+const notMember = -1
+
+// backendSet is an unordered set of backend servers with constant-time
+// insertion, removal and random choice.
+type backendSet struct {
+	kind  setKind
+	items []*backendState
+}
+
+func (s *backendSet) add(b *backendState) {
+	if b.positions[s.kind] != notMember {
+		return
+	}
+	b.positions[s.kind] = len(s.items)
+	s.items = append(s.items, b)
+}
+
+func (s *backendSet) remove(b *backendState) {
+	i := b.positions[s.kind]
+	if i == notMember {
+		return
+	}
+	last := len(s.items) - 1
+	s.items[i] = s.items[last]
+	s.items[i].positions[s.kind] = i
+	s.items[last] = nil
+	s.items = s.items[:last]
+	b.positions[s.kind] = notMember
+}
+
+func (s *backendSet) set(b *backendState, member bool) {
+	if member {
+		s.add(b)
+		return
+	}
+	s.remove(b)
+}
--- /dev/null
+++ b/internal/placer/event.go
@@ -0,0 +1,75 @@
+package placer
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// Event is something that happened and that bears on placement.
+type Event interface{ isEvent() }
+
+// StartRefused tells that a placed task was never started.
+type StartRefused struct {
+	Backend identifier.BackendID
+	Ref     identifier.TaskRef
+	Reason  RefusalReason
+}
+
+// TaskEnded tells that a placed task ended, with or without success.
+type TaskEnded struct {
+	Backend   identifier.BackendID
+	Ref       identifier.TaskRef
+	Succeeded bool
+	RunTime   time.Duration
+}
+
+// TaskLost tells that a placed task's answer was lost; it may still run.
+type TaskLost struct {
+	Backend identifier.BackendID
+	Ref     identifier.TaskRef
+}
+
+// UsageReported is a backend server's report of its slots in use, which lags.
+type UsageReported struct {
+	Backend identifier.BackendID
+	Used    identifier.Slots // by all entry VMs
+	Leaving bool
+}
+
+// AllowanceSet bounds the tasks that this entry VM runs at once on a backend
+// server which is in quarantine or on probation.
+type AllowanceSet struct {
+	Backend identifier.BackendID
+	Tasks   identifier.Slots // Unlimited lifts the bound
+}
+
+// Unlimited is the allowance of a backend server that is not in quarantine.
+const Unlimited identifier.Slots = -1
+
+// PeerReceived is a message from another entry VM.
+type PeerReceived struct {
+	From    identifier.Member
+	Message peermessenger.Message
+}
+
+// PeerLost tells that another entry VM can't be reached.
+type PeerLost struct{ Member identifier.Member }
+
+// Flush follows a call of Place: requests for slots that should not wait for
+// the next Tick are sent.
+type Flush struct{}
+
+// Tick tells that time has passed.
+type Tick struct{}
+
+func (StartRefused) isEvent()  {}
+func (TaskEnded) isEvent()     {}
+func (TaskLost) isEvent()      {}
+func (UsageReported) isEvent() {}
+func (AllowanceSet) isEvent()  {}
+func (PeerReceived) isEvent()  {}
+func (PeerLost) isEvent()      {}
+func (Flush) isEvent()         {}
+func (Tick) isEvent()          {}
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,228 @@
+package placer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testBackends(n int) []Backend {
+	backends := make([]Backend, n)
+	for i := range backends {
+		backends[i] = Backend{
+			ID:           identifier.BackendID(fmt.Sprintf("b%03d", i)),
+			Domain:       identifier.FailureDomain(fmt.Sprint("d", i%3)),
+			Rack:         identifier.RackID(fmt.Sprint("r", i/8)),
+			Address:      fmt.Sprintf("127.0.0.1:%d", 10000+i),
+			Slots:        8,
+			Connections:  64,
+			Millicores:   32_000,
+			Memory:       65_536,
+			Accelerators: 2,
+		}
+	}
+	return backends
+}
+
+func testWants(first, n int, policy Policy) []Want {
+	wants := make([]Want, n)
+	for i := range wants {
+		wants[i] = Want{
+			Ref:        identifier.TaskRef{Submission: "job", Index: identifier.TaskIndex(first + i)},
+			Millicores: 1000,
+			Memory:     256,
+			Weighing:   WeighResponse,
+			Policy:     policy,
+		}
+	}
+	return wants
+}
+
+func newTestPlacer(backends []Backend) *Placer {
+	self := identifier.Member{VM: "vm0", Incarnation: 1}
+	p := New(Options{Self: self, Domain: "d0", Rand: rand.New(rand.NewPCG(1, 1))})
+	p.SetMembers(epoch, []DomainMember{{Member: self, Domain: "d0"}})
+	p.SetBackends(epoch, backends)
+	return p
+}
+
+func TestPlaceSkipsClosedBackends(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		close func(p *Placer, backends []Backend)
+		after time.Duration // from when it is open again; 0: never
+	}{
+		{name: "listed as leaving", close: func(p *Placer, backends []Backend) {
+			backends[0].Leaving = true
+			p.SetBackends(epoch, backends)
+		}},
+		{name: "refused as leaving", close: func(p *Placer, _ []Backend) {
+			p.Step(epoch, StartRefused{Backend: "b000", Reason: Leaving})
+		}},
+		{name: "reported as leaving", close: func(p *Placer, _ []Backend) {
+			p.Step(epoch, UsageReported{Backend: "b000", Leaving: true})
+		}},
+		{name: "in quarantine", close: func(p *Placer, _ []Backend) {
+			p.Step(epoch, AllowanceSet{Backend: "b000", Tasks: 0})
+		}},
+		{name: "full", close: func(p *Placer, _ []Backend) {
+			p.Step(epoch, StartRefused{Backend: "b000", Reason: Full})
+		}, after: minFullBackoff},
+		{name: "unreachable", close: func(p *Placer, _ []Backend) {
+			p.Step(epoch, StartRefused{Backend: "b000", Reason: Unreachable})
+		}, after: minUnreachableBackoff},
+		{name: "delisted", close: func(p *Placer, backends []Backend) {
+			p.SetBackends(epoch, backends[1:])
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, policy := range []Policy{Random{}, TwoChoices{}} {
+				backends := testBackends(4)
+				p := newTestPlacer(backends)
+				tc.close(p, backends)
+				for _, placement := range p.Place(epoch, testWants(0, 100, policy)) {
+					if placement.Backend == "b000" {
+						t.Fatalf("%T placed a task there", policy)
+					}
+				}
+				reopened := epoch.Add(max(tc.after, 2*time.Second))
+				p.Step(reopened, Tick{})
+				open := len(p.Place(reopened, testWants(100, 8, policy))) > 0
+				if want := tc.after > 0; open != want {
+					t.Errorf("%T: open again is %v, want %v", policy, open, want)
+				}
+			}
+		})
+	}
+}
+
+func TestFits(t *testing.T) {
+	p := newTestPlacer(testBackends(2))
+	for _, tc := range []struct {
+		name string
+		want Want
+		fits bool
+	}{
+		{name: "largest", want: Want{Millicores: 32_000, Memory: 65_536, Accelerators: 2}, fits: true},
+		{name: "cores", want: Want{Millicores: 32_001}},
+		{name: "memory", want: Want{Memory: 65_537}},
+		{name: "accelerators", want: Want{Accelerators: 3}},
+	} {
+		if got := p.Fits(tc.want); got != tc.fits {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.fits)
+		}
+	}
+}
+
+// TestPlaceKeepsBounds checks, over any history, that a backend server never
+// runs more tasks than it has slots and accelerators, and that a call of Place
+// leaves no slot free while a task waits.
+func TestPlaceKeepsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const backends = 5
+		p := newTestPlacer(testBackends(backends))
+		running := make(map[identifier.BackendID][]Want)
+		total, next := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"place": func(t *rapid.T) {
+				policy := rapid.SampledFrom([]Policy{Random{}, TwoChoices{}}).Draw(t, "policy")
+				wants := testWants(next, rapid.IntRange(1, 20).Draw(t, "wants"), policy)
+				next += len(wants)
+				for i := range wants {
+					wants[i].Accelerators = 0
+					if rapid.IntRange(0, 3).Draw(t, "accelerated") == 0 {
+						wants[i].Accelerators = 1
+					}
+				}
+				byRef := make(map[identifier.TaskRef]Want)
+				plain := 0
+				for _, w := range wants {
+					byRef[w.Ref] = w
+					if w.Accelerators == 0 {
+						plain++
+					}
+				}
+				placed := 0
+				for _, placement := range p.Place(epoch, wants) {
+					w := byRef[placement.Ref]
+					running[placement.Backend] = append(running[placement.Backend], w)
+					total++
+					if w.Accelerators == 0 {
+						placed++
+					}
+				}
+				if placed < plain && total < backends*8 {
+					t.Fatalf("%d of %d tasks placed, and only %d slots are taken", placed, plain, total)
+				}
+			},
+			"end": func(t *rapid.T) {
+				id := identifier.BackendID(fmt.Sprintf("b%03d", rapid.IntRange(0, backends-1).Draw(t, "backend")))
+				if len(running[id]) == 0 {
+					return
+				}
+				w := running[id][0]
+				running[id] = running[id][1:]
+				total--
+				p.Step(epoch, TaskEnded{Backend: id, Ref: w.Ref, Succeeded: true})
+			},
+			"": func(t *rapid.T) {
+				for id, wants := range running {
+					accelerators := 0
+					for _, w := range wants {
+						accelerators += int(w.Accelerators)
+					}
+					if len(wants) > 8 || accelerators > 2 {
+						t.Fatalf("%s runs %d tasks with %d accelerators", id, len(wants), accelerators)
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestConnectionShares checks that all entry VMs together stay within a backend
+// server's connections, also while two versions of the list are in use.
+func TestConnectionShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		connections := rapid.IntRange(1, 64).Draw(t, "connections")
+		before := rapid.IntRange(1, 100).Draw(t, "before")
+		after := rapid.IntRange(1, 100).Draw(t, "after")
+		switched := rapid.IntRange(0, 100).Draw(t, "switched")
+		total := 0
+		for i := range max(before, after) {
+			n := before
+			if i < switched {
+				n = after
+			}
+			if i < n {
+				total += shareOf(i, n, connections)
+			}
+		}
+		if total > connections {
+			t.Fatalf("%d connections of %d", total, connections)
+		}
+	})
+}
+
+func shareOf(i, n, connections int) int {
+	members := make([]DomainMember, n)
+	for k := range members {
+		members[k] = DomainMember{
+			Member: identifier.Member{VM: identifier.VMID(fmt.Sprint("vm", k)), Incarnation: 1},
+			Domain: identifier.FailureDomain(fmt.Sprint("d", k%3)),
+		}
+	}
+	b := testBackends(1)
+	b[0].Connections = connections
+	p := New(Options{Self: members[i].Member, Domain: members[i].Domain, Rand: rand.New(rand.NewPCG(1, 1))})
+	p.SetMembers(epoch, members)
+	p.SetBackends(epoch, b)
+	return p.ConnectionShare("b000")
+}
