--- a/cmd/peppertrack/internal/cmd/exitcode.go
+++ b/cmd/peppertrack/internal/cmd/exitcode.go
@@ -17,6 +17,8 @@
 	exitUsage    exitCode = 2 // wrong flags or arguments
 	exitConflict exitCode = 3 // somebody else's change stands in the way
 	exitRefused  exitCode = 4 // refused, or the server is out of reach
+
+	exitUnverifiable exitCode = 5 // whether a job ran can't be told
 )
 
 // codedError is an error that ends the process with a code of its own.
--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -24,6 +24,9 @@
 
 func newRootCmd() *cobra.Command {
 	root := newGroupCmd("peppertrack", "Submit jobs, and drive the dispatcher by profiles",
+		newSubmitCmd(),
+		newJobCmd(),
+		newCancelCmd(),
 		newVersionCmd(),
 	)
 	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
@@ -33,7 +36,8 @@
 names, else from peppertrack/client.yaml in the user's configuration directory.
 
 Exit codes: 0 done, 1 failed, 2 wrong flags or arguments, 3 conflict with
-somebody else's change, 4 refused, or the server is out of reach.`
+somebody else's change, 4 refused, or the server is out of reach,
+5 whether a job ran can't be told.`
 	root.SilenceUsage = true
 	root.SilenceErrors = true
 	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
--- a/cmd/peppertrack/internal/cmd/script_test.go
+++ b/cmd/peppertrack/internal/cmd/script_test.go
@@ -15,11 +15,15 @@
 }
 
 // TestScripts runs each script in testdata/scripts. A script's command
-// "exitcode N args..." runs peppertrack and holds its exit code to N.
+// "exitcode N args..." runs peppertrack and holds its exit code to N. A script's
+// command "fakecallers FILE" serves the callers' API with the replies in FILE.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:  "testdata/scripts",
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exitcode": exitcodeCmd},
+		Dir: "testdata/scripts",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exitcode":    exitcodeCmd,
+			"fakecallers": fakeCallersCmd,
+		},
 	})
 }
 
--- a/internal/jobsubmitter/balancer.go
+++ b/internal/jobsubmitter/balancer.go
@@ -14,6 +14,7 @@
 // balancer picks a ready entry VM for each request.
 type balancer struct {
 	client *http.Client
+	scheme string
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -26,13 +27,14 @@
 	domain  identifier.FailureDomain // "" until it is learned
 }
 
-func newBalancer(addresses []string, transport http.RoundTripper, rng *rand.Rand) *balancer {
+func newBalancer(opts Options, rng *rand.Rand) *balancer {
 	b := &balancer{
-		client: &http.Client{Transport: transport},
+		client: &http.Client{Transport: opts.Transport},
+		scheme: opts.Scheme,
 		rng:    rng,
-		vms:    make([]vmState, len(addresses)),
+		vms:    make([]vmState, len(opts.Addresses)),
 	}
-	for i, address := range addresses {
+	for i, address := range opts.Addresses {
 		b.vms[i] = vmState{address: address, ready: true}
 	}
 	return b
@@ -119,7 +121,7 @@
 func (b *balancer) probe(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, b.scheme+"://"+address+"/readyz", nil)
 	if err != nil {
 		b.drop(address)
 		return
--- a/internal/jobsubmitter/errors.go
+++ b/internal/jobsubmitter/errors.go
@@ -11,7 +11,9 @@
 type UnansweredError struct {
 	Submission identifier.SubmissionID
 	Attempts   int
-	Last       error
+	// NeverSent says that no attempt reached an entry VM.
+	NeverSent bool
+	Last      error
 }
 
 // Error describes the request and its last failure.
--- a/internal/jobsubmitter/exchange.go
+++ b/internal/jobsubmitter/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -28,13 +29,15 @@
 func (s *Submitter) run(ctx context.Context, c call) (answer Answer, err error) {
 	s.budget.earn()
 	avoid := ""
+	neverSent := true
 	for attempt := 1; ; attempt++ {
 		address := s.target(c, attempt, avoid)
 		answer, err = s.attempt(ctx, c, address, attempt)
 		answer.Attempts = attempt
+		neverSent = neverSent && isDialError(err)
 		pause, again := s.pauseAfter(answer, err, attempt)
 		if !again || ctx.Err() != nil || attempt >= s.opts.Attempts || !s.budget.spend() {
-			return answer, s.finalError(c, err, attempt)
+			return answer, finalError(c, err, attempt, neverSent)
 		}
 		if err != nil {
 			avoid = address
@@ -43,7 +46,7 @@
 			if err == nil {
 				return answer, nil
 			}
-			return answer, s.finalError(c, err, attempt)
+			return answer, finalError(c, err, attempt, neverSent)
 		}
 	}
 }
@@ -92,11 +95,17 @@
 	return errors.As(err, &lost)
 }
 
-func (s *Submitter) finalError(c call, err error, attempts int) error {
+// isDialError says whether an attempt failed before it was connected.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func finalError(c call, err error, attempts int, neverSent bool) error {
 	if err == nil || !isLost(err) {
 		return err
 	}
-	return &UnansweredError{Submission: c.submission, Attempts: attempts, Last: err}
+	return &UnansweredError{Submission: c.submission, Attempts: attempts, NeverSent: neverSent, Last: err}
 }
 
 // attempt sends the call once.
@@ -142,7 +151,7 @@
 		}
 		body = bytes.NewReader(encoded)
 	}
-	r, err = http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, body)
+	r, err = http.NewRequestWithContext(ctx, c.method, s.opts.Scheme+"://"+address+c.path, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/jobsubmitter/options.go
+++ b/internal/jobsubmitter/options.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,8 @@
 type Options struct {
 	// Addresses are the entry VMs' callers' addresses, as IP and port.
 	Addresses []string
+	// Scheme is http, the default, or https.
+	Scheme string
 	// Token is the bearer token that names the caller's team.
 	Token string
 	// Attempts bounds the attempts at one submission, the first included.
@@ -63,10 +66,13 @@
 		return errors.Newf("addresses: %d entry VMs are more than %d", len(o.Addresses), maxAddresses)
 	}
 	for _, address := range o.Addresses {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return errors.Wrapf(err, "addresses: %q", address)
+		if address == "" || strings.ContainsAny(address, "/ ") {
+			return errors.Newf("addresses: %q is not a host and port", address)
 		}
 	}
+	if o.Scheme != "" && o.Scheme != "http" && o.Scheme != "https" {
+		return errors.Newf("scheme: %q is neither http nor https", o.Scheme)
+	}
 	if o.Attempts < 0 {
 		return errors.Newf("attempts: %d is below 0", o.Attempts)
 	}
@@ -77,6 +83,7 @@
 }
 
 func (o Options) withDefaults() Options {
+	setDefault(&o.Scheme, "http")
 	setDefault(&o.Attempts, DefaultAttempts)
 	setDefault(&o.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&o.Backoff, DefaultBackoff)
--- a/internal/jobsubmitter/submitter.go
+++ b/internal/jobsubmitter/submitter.go
@@ -35,7 +35,7 @@
 	s = &Submitter{
 		opts:     opts,
 		client:   &http.Client{Transport: opts.Transport},
-		balancer: newBalancer(opts.Addresses, opts.Transport, rand.New(rand.NewPCG(opts.Seed, 1))),
+		balancer: newBalancer(opts, rand.New(rand.NewPCG(opts.Seed, 1))),
 		budget:   newRetryBudget(),
 		rng:      rand.New(rand.NewPCG(opts.Seed, 2)),
 	}
