--- a/internal/callerserver/dispatcher.go
+++ b/internal/callerserver/dispatcher.go
@@ -11,20 +11,11 @@
 // Dispatcher answers callers' requests.
 type Dispatcher interface {
 	// Submit returns the job's status once it ended, or once it was admitted when wait is false.
-	Submit(ctx context.Context, job declarer.Job, wait bool) (Status, error)
+	Submit(ctx context.Context, job declarer.Job, wait bool) (declarer.Status, error)
 	// Fetch returns the job's status once it ended or the wait is over.
-	Fetch(ctx context.Context, team identifier.Team, id identifier.SubmissionID, wait time.Duration) (Status, error)
+	Fetch(ctx context.Context, team identifier.Team, id identifier.SubmissionID, wait time.Duration) (declarer.Status, error)
 	// Cancel cancels the job and returns its status.
-	Cancel(ctx context.Context, team identifier.Team, id identifier.SubmissionID) (Status, error)
-}
-
-// Status is what is known of a submission. A nil Ending of a known submission
-// means that it is running.
-type Status struct {
-	Known  bool
-	Ended  int // tasks that ended so far
-	Tasks  int
-	Ending declarer.Ending
+	Cancel(ctx context.Context, team identifier.Team, id identifier.SubmissionID) (declarer.Status, error)
 }
 
 // BusyError reports that the daemon has no room for another request. Nothing
--- a/internal/callerserver/reply.go
+++ b/internal/callerserver/reply.go
@@ -35,7 +35,7 @@
 }
 
 // writeStatus answers with what is known of a submission.
-func writeStatus(w http.ResponseWriter, id identifier.SubmissionID, status Status) {
+func writeStatus(w http.ResponseWriter, id identifier.SubmissionID, status declarer.Status) {
 	if !status.Known {
 		writeReply(w, http.StatusNotFound, reply{SubmissionID: id, Ending: "unknown", Detail: "nothing is known of this submission"})
 		return
--- /dev/null
+++ b/internal/dispatcher/backends.go
@@ -0,0 +1,18 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/placer"
+)
+
+// setBackends takes the platform's list of backend servers.
+func (m *Machine) setBackends(now time.Time, backends []placer.Backend) {
+	m.placer.SetBackends(now, backends)
+	clear(m.addresses)
+	for _, b := range backends {
+		m.addresses[b.ID] = b.Address
+	}
+	m.limiter.SetCapacity(now, m.placer.Slots(now))
+	m.pump(now)
+}
--- /dev/null
+++ b/internal/dispatcher/digest.go
@@ -0,0 +1,44 @@
+package dispatcher
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+)
+
+// digest returns a hash of what a submission asks for. Attempts at the same
+// submission have the same digest.
+func digest(job declarer.Job) uint64 {
+	h := xxhash.New()
+	writeString(h, string(job.Team))
+	writeString(h, string(job.Profile))
+	writeNumber(h, boolNumber(job.Unrepeatable))
+	for _, t := range job.Tasks {
+		writeString(h, string(t.Payload))
+		writeNumber(h, uint64(t.RunTime))
+		writeNumber(h, uint64(t.Cores))
+		writeNumber(h, uint64(t.Memory))
+		writeNumber(h, uint64(t.Requires))
+	}
+	return h.Sum64()
+}
+
+func writeString(h *xxhash.Digest, s string) {
+	writeNumber(h, uint64(len(s)))
+	_, _ = h.WriteString(s) // never fails
+}
+
+func writeNumber(h *xxhash.Digest, n uint64) {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], n)
+	_, _ = h.Write(buf[:]) // never fails
+}
+
+func boolNumber(b bool) uint64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dispatcher/effect.go
@@ -0,0 +1,61 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// Effect is an output of a Machine.
+type Effect interface{ isEffect() }
+
+// Reply answers a caller's request.
+type Reply struct {
+	Request RequestID
+	Status  declarer.Status
+}
+
+// Send sends a message to a peer.
+type Send struct {
+	To      identifier.Member
+	Message peermessenger.Message
+}
+
+// StartTask starts a task on a backend server.
+type StartTask struct {
+	Ref          identifier.TaskRef
+	Backend      identifier.BackendID
+	Address      string
+	Task         declarer.Task
+	Lease        time.Duration // after which the backend server stops the task
+	Unrepeatable bool
+}
+
+// StopTasks stops tasks on a backend server.
+type StopTasks struct {
+	Backend identifier.BackendID
+	Address string
+	Refs    []identifier.TaskRef
+}
+
+// JobObserved reports an ended job for the service-level reports.
+type JobObserved struct {
+	Team     identifier.Team
+	Profile  identifier.ProfileName
+	Ending   declarer.Ending
+	Response time.Duration // from arrival to ending
+	Ideal    time.Duration // the longest run time of a task; 0 when none ran
+}
+
+// Drained reports that the process may end: no job runs here, and the records
+// are on peers.
+type Drained struct{}
+
+func (Reply) isEffect()       {}
+func (Send) isEffect()        {}
+func (StartTask) isEffect()   {}
+func (StopTasks) isEffect()   {}
+func (JobObserved) isEffect() {}
+func (Drained) isEffect()     {}
--- /dev/null
+++ b/internal/dispatcher/forward.go
@@ -0,0 +1,181 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// forward is a request that waits for the answer of a peer.
+type forward struct {
+	requester requester
+	to        identifier.Member
+	message   peermessenger.Message // without its number
+	attempts  int
+	resendAt  time.Time // zero: it was sent and the peer is up
+	until     time.Time
+}
+
+// forwardTo sends a request on to a peer that is nearer to its home.
+func (m *Machine) forwardTo(now time.Time, r requester, to identifier.Member, hops uint8, message peermessenger.Message) {
+	if hops >= maxHops || len(m.forwards) >= maxForwards {
+		m.replyEnding(r, homeUnreachable("the request was forwarded too often"))
+		return
+	}
+	m.opts.Counters.JobsForwarded.Add(1)
+	m.number++
+	f := &forward{requester: r, to: to, message: message, until: now.Add(forwardWait(message))}
+	m.forwards[m.number] = f
+	m.sendForward(m.number, f)
+}
+
+// forwardWait returns how long a request waits for a peer.
+func forwardWait(message peermessenger.Message) time.Duration {
+	switch message := message.(type) {
+	case peermessenger.SubmitJob:
+		if message.Job.Deadline > 0 {
+			return message.Job.Deadline + forwardTimeout
+		}
+		return longestForward
+	case peermessenger.AttachJob:
+		return message.Wait + forwardTimeout
+	default:
+		return forwardTimeout
+	}
+}
+
+func (m *Machine) sendForward(number peermessenger.RequestNumber, f *forward) {
+	f.attempts++
+	f.resendAt = time.Time{}
+	m.emit(Send{To: f.to, Message: numbered(f.message, number)})
+}
+
+func numbered(message peermessenger.Message, number peermessenger.RequestNumber) peermessenger.Message {
+	switch message := message.(type) {
+	case peermessenger.SubmitJob:
+		message.Number = number
+		return message
+	case peermessenger.AttachJob:
+		message.Number = number
+		return message
+	case peermessenger.CancelJob:
+		message.Number = number
+		return message
+	default:
+		return message
+	}
+}
+
+// forwardAnswered hands a peer's answer to the requester.
+func (m *Machine) forwardAnswered(reply peermessenger.JobReply) {
+	f, ok := m.forwards[reply.Number]
+	if !ok {
+		return
+	}
+	delete(m.forwards, reply.Number)
+	m.reply(f.requester, reply.Status())
+}
+
+// forwardsLost arranges for the requests that a lost peer has to be sent again.
+// That is safe: the home starts a submission once, whatever it receives.
+func (m *Machine) forwardsLost(now time.Time, member identifier.Member) {
+	for _, f := range m.forwards {
+		if f.to == member && f.resendAt.IsZero() {
+			f.resendAt = now.Add(retryForward)
+		}
+	}
+}
+
+// tickForwards sends again what was lost, and gives up on what is overdue.
+func (m *Machine) tickForwards(now time.Time) {
+	for _, number := range m.sortedForwards() {
+		f := m.forwards[number]
+		switch {
+		case now.After(f.until):
+			delete(m.forwards, number)
+			m.replyEnding(f.requester, homeUnreachable("the home of the submission did not answer in time"))
+		case !f.resendAt.IsZero() && !now.Before(f.resendAt):
+			m.resend(now, number, f)
+		}
+	}
+}
+
+// resend sends a request on its way again, which may lead to another home.
+func (m *Machine) resend(now time.Time, number peermessenger.RequestNumber, f *forward) {
+	if f.attempts >= maxForwardAttempts {
+		delete(m.forwards, number)
+		m.replyEnding(f.requester, homeUnreachable("the home of the submission can't be reached"))
+		return
+	}
+	id, createdAt := subject(f.message)
+	home, denial := m.home(id, createdAt)
+	switch {
+	case denial != nil:
+		f.attempts++
+		f.resendAt = now.Add(retryForward)
+	case home == m.opts.Self:
+		delete(m.forwards, number)
+		m.takeBack(now, f)
+	default:
+		f.to = home
+		m.sendForward(number, f)
+	}
+}
+
+// takeBack serves a request whose home this entry VM has become.
+func (m *Machine) takeBack(now time.Time, f *forward) {
+	switch message := f.message.(type) {
+	case peermessenger.SubmitJob:
+		m.submit(now, f.requester, message.Job, message.Wait, message.Hops)
+	case peermessenger.AttachJob:
+		m.fetch(now, f.requester, fetchRequest{team: message.Team, submission: message.Submission, wait: message.Wait, hops: message.Hops})
+	case peermessenger.CancelJob:
+		m.cancel(now, f.requester, cancelRequest{team: message.Team, submission: message.Submission, hops: message.Hops})
+	}
+}
+
+func subject(message peermessenger.Message) (identifier.SubmissionID, time.Time) {
+	switch message := message.(type) {
+	case peermessenger.SubmitJob:
+		return message.Job.Submission, message.Job.CreatedAt
+	case peermessenger.AttachJob:
+		return message.Submission, time.Time{}
+	case peermessenger.CancelJob:
+		return message.Submission, time.Time{}
+	default:
+		return "", time.Time{}
+	}
+}
+
+// dropForward forgets the forwarded request of a caller that hung up.
+func (m *Machine) dropForward(r requester) {
+	for number, f := range m.forwards {
+		if f.requester == r {
+			delete(m.forwards, number)
+			return
+		}
+	}
+}
+
+func (m *Machine) sortedForwards() []peermessenger.RequestNumber {
+	if len(m.forwards) == 0 {
+		return nil
+	}
+	numbers := make([]peermessenger.RequestNumber, 0, len(m.forwards))
+	for number := range m.forwards {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+func homeUnreachable(detail string) declarer.Ending {
+	return declarer.Unverifiable{
+		Cause:      declarer.HomeUnreachable,
+		Detail:     detail + "; an earlier attempt, or this one, may have started the job",
+		RetryAfter: unreachableRetryAfter,
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/job.go
@@ -0,0 +1,116 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/placer"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+// taskState is where a task is on its way.
+type taskState uint8
+
+const (
+	taskQueued taskState = iota
+	taskRunning
+	taskSucceeded
+	taskFailed
+	taskLost // may have started; its end is unknown
+)
+
+// runningJob is a job that this entry VM runs as the home of its submission.
+type runningJob struct {
+	job          declarer.Job
+	profile      profileparser.Profile
+	digest       uint64
+	arrived      time.Time
+	deadline     time.Time
+	unrepeatable bool
+	admitted     bool // its tasks are in the queue
+	cancelled    bool // before the claim was settled
+	waiters      []waiter
+	states       []taskState
+	backends     []identifier.BackendID // of the running tasks
+	outputs      [][]byte
+	ended        int
+	longest      time.Duration // run time of a task so far
+	policy       placer.Policy
+	weighing     placer.Weighing
+}
+
+func newRunningJob(now time.Time, job declarer.Job, profile profileparser.Profile) *runningJob {
+	deadline := profile.Deadline
+	if job.Deadline > 0 {
+		deadline = min(job.Deadline, profile.Deadline)
+	}
+	return &runningJob{
+		job:          job,
+		profile:      profile,
+		digest:       digest(job),
+		arrived:      now,
+		deadline:     now.Add(deadline),
+		unrepeatable: job.Unrepeatable || !profile.Repeatable,
+		states:       make([]taskState, len(job.Tasks)),
+		backends:     make([]identifier.BackendID, len(job.Tasks)),
+		outputs:      make([][]byte, len(job.Tasks)),
+		policy:       policyOf(profile.Placement),
+		weighing:     weighingOf(profile.Placement),
+	}
+}
+
+// status returns the status of a job that has not ended.
+func (j *runningJob) status() declarer.Status {
+	return declarer.Status{Known: true, Ended: j.ended, Tasks: len(j.states)}
+}
+
+// started reports whether a task may have started.
+func (j *runningJob) started() bool {
+	for _, state := range j.states {
+		if state != taskQueued {
+			return true
+		}
+	}
+	return false
+}
+
+// outcomes returns what is known of each task.
+func (j *runningJob) outcomes() []declarer.TaskOutcome {
+	outcomes := make([]declarer.TaskOutcome, len(j.states))
+	for i, state := range j.states {
+		outcomes[i] = outcomeOf(state)
+	}
+	return outcomes
+}
+
+func outcomeOf(state taskState) declarer.TaskOutcome {
+	switch state {
+	case taskQueued:
+		return declarer.NeverStarted
+	case taskSucceeded, taskFailed:
+		return declarer.Ran
+	default:
+		return declarer.Unknown
+	}
+}
+
+func weighingOf(p profileparser.Placement) placer.Weighing {
+	if p.MessageWeight > p.ResponseWeight {
+		return placer.WeighMessages
+	}
+	return placer.WeighResponse
+}
+
+// want returns what a task asks of a backend server.
+func (j *runningJob) want(i identifier.TaskIndex) placer.Want {
+	t := j.job.Tasks[i]
+	return placer.Want{
+		Ref:          identifier.TaskRef{Submission: j.job.Submission, Index: i},
+		Millicores:   t.Cores,
+		Memory:       t.Memory,
+		Accelerators: t.Requires,
+		Weighing:     j.weighing,
+		Policy:       j.policy,
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/options.go
@@ -0,0 +1,47 @@
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Options configure a Machine.
+type Options struct {
+	Self           identifier.Member
+	Domain         identifier.FailureDomain
+	Domains        []identifier.FailureDomain // of the deployment, in the same order on every VM
+	Rand           *rand.Rand
+	MaxQueuedTasks int
+	MaxRecords     int           // records of submissions
+	Retention      time.Duration // of a record, from the creation of the submission id
+	ClockBound     time.Duration // largest difference between two clocks
+	Counters       *Counters
+}
+
+const (
+	// firstBatch and largestBatch bound the tasks taken from the queue at one time.
+	firstBatch   = 4
+	largestBatch = 256
+	// leaseMargin is added to the remaining deadline of a job to make the lease of its tasks.
+	leaseMargin = 200 * time.Millisecond
+	// maxForwards bounds the requests that wait for a peer.
+	maxForwards = 50_000
+	// maxWaiters bounds the requests that wait for one job.
+	maxWaiters = 64
+	// maxHops bounds how often a request is forwarded.
+	maxHops = 3
+	// forwardTimeout bounds how long a forwarded request waits beyond its own deadline.
+	forwardTimeout = 5 * time.Second
+	// longestForward bounds how long a submission without a deadline waits for a peer.
+	longestForward = time.Hour
+	// retryForward is the pause before a forward whose peer went away is sent again.
+	retryForward = 200 * time.Millisecond
+	// maxForwardAttempts bounds how often one request is sent to a peer.
+	maxForwardAttempts = 10
+	// unreachableRetryAfter tells a caller when to come back to a home that can't be asked.
+	unreachableRetryAfter = time.Second
+	// shutdownRetryAfter tells a caller when to come back to another entry VM.
+	shutdownRetryAfter = 200 * time.Millisecond
+)
--- /dev/null
+++ b/internal/dispatcher/policy.go
@@ -0,0 +1,18 @@
+package dispatcher
+
+import (
+	"github.com/peppertrack/peppertrack/internal/placer"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+// policyOf returns the policy that a profile names; nil takes the default.
+func policyOf(p profileparser.Placement) placer.Policy {
+	switch p.Policy {
+	case profileparser.Random:
+		return placer.Random{}
+	case profileparser.TwoChoices:
+		return placer.TwoChoices{}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/pump.go
@@ -0,0 +1,83 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/placer"
+)
+
+// pump starts queued tasks, in the limiter's order, as long as there are slots.
+func (m *Machine) pump(now time.Time) {
+	asked := false
+	for {
+		refs := m.limiter.Next(now, m.batch)
+		if len(refs) == 0 {
+			break
+		}
+		asked = true
+		placed := m.placeAll(now, refs)
+		if placed < len(refs) {
+			m.batch = max(firstBatch, placed)
+			break
+		}
+		m.batch = min(2*m.batch, largestBatch)
+	}
+	if asked {
+		m.placerStep(now, placer.Flush{})
+	}
+}
+
+// placeAll starts the tasks that have a place, puts the others back into the
+// queue and returns the number of the started ones.
+func (m *Machine) placeAll(now time.Time, refs []identifier.TaskRef) int {
+	wants := make([]placer.Want, 0, len(refs))
+	for _, ref := range refs {
+		wants = append(wants, m.jobs[ref.Submission].want(ref.Index))
+	}
+	placements := m.placer.Place(now, wants)
+	placed := make(map[identifier.TaskRef]struct{}, len(placements))
+	for _, p := range placements {
+		placed[p.Ref] = struct{}{}
+		m.startTask(now, p)
+	}
+	for _, ref := range slices.Backward(refs) {
+		if _, ok := placed[ref]; !ok {
+			m.limiter.Unplace(now, ref)
+		}
+	}
+	return len(placements)
+}
+
+// startTask sends one task to its backend server.
+func (m *Machine) startTask(now time.Time, p placer.Placement) {
+	j := m.jobs[p.Ref.Submission]
+	j.states[p.Ref.Index] = taskRunning
+	j.backends[p.Ref.Index] = p.Backend
+	m.opts.Counters.TasksStarted.Add(1)
+	m.emit(StartTask{
+		Ref:          p.Ref,
+		Backend:      p.Backend,
+		Address:      p.Address,
+		Task:         j.job.Tasks[p.Ref.Index],
+		Lease:        j.deadline.Sub(now) + leaseMargin,
+		Unrepeatable: j.unrepeatable,
+	})
+}
+
+// placerStep hands an event to the placer and carries out what it asks for.
+func (m *Machine) placerStep(now time.Time, e placer.Event) {
+	freed := false
+	for _, effect := range m.placer.Step(now, e) {
+		switch effect := effect.(type) {
+		case placer.Send:
+			m.emit(Send{To: effect.To, Message: effect.Message})
+		case placer.SlotsFreed:
+			freed = true
+		}
+	}
+	if freed {
+		m.pump(now)
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/startoutcome.go
@@ -0,0 +1,33 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/placer"
+)
+
+// StartOutcome is how the start of a task ended.
+type StartOutcome interface{ isStartOutcome() }
+
+// TaskSucceeded reports a task's output.
+type TaskSucceeded struct {
+	Output  []byte
+	RunTime time.Duration
+}
+
+// TaskFailed reports that a task ran and failed.
+type TaskFailed struct {
+	Detail  string
+	RunTime time.Duration
+}
+
+// StartRefused reports that a task provably never started.
+type StartRefused struct{ Reason placer.RefusalReason }
+
+// AnswerLost reports that a task may have started and that its end is unknown.
+type AnswerLost struct{ Detail string }
+
+func (TaskSucceeded) isStartOutcome() {}
+func (TaskFailed) isStartOutcome()    {}
+func (StartRefused) isStartOutcome()  {}
+func (AnswerLost) isStartOutcome()    {}
--- /dev/null
+++ b/internal/dispatcher/submit.go
@@ -0,0 +1,157 @@
+package dispatcher
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/limiter"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// submit takes a submission: it goes to its home, and there it joins the
+// running job, gets the kept ending or becomes a new job.
+func (m *Machine) submit(now time.Time, r requester, job declarer.Job, wait bool, hops uint8) {
+	m.opts.Counters.JobsSubmitted.Add(1)
+	home, denial := m.home(job.Submission, job.CreatedAt)
+	if denial != nil {
+		m.replyEnding(r, denial)
+		return
+	}
+	if home != m.opts.Self {
+		m.forwardTo(now, r, home, hops, peermessenger.SubmitJob{Job: job, Wait: wait, Hops: hops + 1})
+		return
+	}
+	if j, ok := m.jobs[job.Submission]; ok {
+		m.join(r, j, job, wait)
+		return
+	}
+	if ending, ok := m.claims.kept(job.Submission); ok {
+		m.replyKept(r, job, ending)
+		return
+	}
+	m.begin(now, r, job, wait)
+}
+
+// join adds a resubmission to the running job.
+func (m *Machine) join(r requester, j *runningJob, job declarer.Job, wait bool) {
+	m.opts.Counters.JobsJoined.Add(1)
+	if digest(job) != j.digest || job.Team != j.job.Team {
+		m.replyEnding(r, bodyMismatch())
+		return
+	}
+	if !wait && j.admitted {
+		m.reply(r, j.status())
+		return
+	}
+	m.addWaiter(r, j, time.Time{}, wait)
+}
+
+// replyKept answers a resubmission of a job that has ended.
+func (m *Machine) replyKept(r requester, job declarer.Job, kept keptEnding) {
+	m.opts.Counters.JobsJoined.Add(1)
+	if kept.digest != digest(job) || kept.team != job.Team {
+		m.replyEnding(r, bodyMismatch())
+		return
+	}
+	m.replyEnding(r, kept.ending)
+}
+
+func bodyMismatch() declarer.Ending {
+	return declarer.Unverifiable{
+		Cause:  declarer.BodyMismatch,
+		Detail: "the submission id was used with another body; this attempt started nothing",
+	}
+}
+
+// begin claims a submission of which nothing is known here.
+func (m *Machine) begin(now time.Time, r requester, job declarer.Job, wait bool) {
+	profile, ok := m.profiles[job.Profile]
+	if !ok {
+		m.refuse(r, declarer.Refused{Cause: declarer.UnknownProfile, Detail: "no profile has the name " + string(job.Profile)})
+		return
+	}
+	if refusal := m.check(job, profile); refusal != nil {
+		m.refuse(r, *refusal)
+		return
+	}
+	j := newRunningJob(now, job, profile)
+	m.jobs[job.Submission] = j
+	m.addWaiter(r, j, time.Time{}, wait)
+	m.askClaim(now, j)
+}
+
+// refuse answers a request of whose submission nothing ever started.
+func (m *Machine) refuse(r requester, refused declarer.Refused) {
+	m.opts.Counters.JobsRefused.Add(1)
+	m.replyEnding(r, refused)
+}
+
+// start queues the tasks of a job whose claim was granted, or refuses it.
+func (m *Machine) start(now time.Time, j *runningJob) {
+	if refusal := m.limiter.Admit(now, m.admission(j)); refusal != nil {
+		m.end(now, j, declarer.Refused{Cause: refusal.Cause, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
+		return
+	}
+	j.admitted = true
+	if j.cancelled {
+		m.cancelJob(now, j)
+		return
+	}
+	heap.Push(&m.deadlines, deadline{at: j.deadline, submission: j.job.Submission})
+	m.releaseAdmitted(j)
+	m.pump(now)
+}
+
+// admission returns what the limiter needs to know of a job.
+func (m *Machine) admission(j *runningJob) limiter.Request {
+	needs := make([]limiter.TaskNeed, len(j.job.Tasks))
+	for i, t := range j.job.Tasks {
+		expected, _ := m.estimator.Estimate(j.job.Profile, t.RunTime)
+		needs[i] = limiter.TaskNeed{Expected: expected}
+	}
+	return limiter.Request{
+		Submission: j.job.Submission,
+		Team:       j.job.Team,
+		Profile:    j.job.Profile,
+		Weight:     float64(j.profile.Weight),
+		Priority:   j.profile.Priority,
+		Quota:      j.profile.Quota(j.job.Team),
+		QueueBound: j.profile.QueueBound,
+		Tasks:      needs,
+		Deadline:   j.deadline,
+	}
+}
+
+// releaseAdmitted answers the requesters that wait for the admission alone.
+func (m *Machine) releaseAdmitted(j *runningJob) {
+	kept := j.waiters[:0]
+	for _, w := range j.waiters {
+		if w.ending {
+			kept = append(kept, w)
+			continue
+		}
+		m.reply(w.requester, j.status())
+	}
+	j.waiters = kept
+}
+
+func (m *Machine) addWaiter(r requester, j *runningJob, until time.Time, ending bool) {
+	if len(j.waiters) >= maxWaiters {
+		m.reply(r, j.status())
+		return
+	}
+	j.waiters = append(j.waiters, waiter{requester: r, until: until, ending: ending})
+}
+
+// dropWaiter forgets a caller that hung up. The job goes on.
+func (m *Machine) dropWaiter(e RequestGone) {
+	caller := localCaller{e.Request}
+	m.dropForward(caller)
+	j, ok := m.jobs[e.Submission]
+	if !ok {
+		return
+	}
+	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.requester == caller })
+}
--- a/internal/peermessenger/jobmessages.go
+++ b/internal/peermessenger/jobmessages.go
@@ -15,6 +15,8 @@
 type SubmitJob struct {
 	Number RequestNumber `cbor:"1,keyasint"`
 	Job    declarer.Job  `cbor:"2,keyasint"`
+	Wait   bool          `cbor:"3,keyasint"` // false: reply once the job is admitted
+	Hops   uint8         `cbor:"4,keyasint"` // times that the request was forwarded before
 }
 
 // AttachJob asks the home of an id for the job's ending.
@@ -23,6 +25,7 @@
 	Submission identifier.SubmissionID `cbor:"2,keyasint"`
 	Team       identifier.Team         `cbor:"3,keyasint"`
 	Wait       time.Duration           `cbor:"4,keyasint"`
+	Hops       uint8                   `cbor:"5,keyasint"` // times that the request was forwarded before
 }
 
 // CancelJob asks the home of an id to cancel the job.
@@ -30,6 +33,7 @@
 	Number     RequestNumber           `cbor:"1,keyasint"`
 	Submission identifier.SubmissionID `cbor:"2,keyasint"`
 	Team       identifier.Team         `cbor:"3,keyasint"`
+	Hops       uint8                   `cbor:"4,keyasint"` // times that the request was forwarded before
 }
 
 // JobReply answers SubmitJob, AttachJob and CancelJob. At most one of the
@@ -45,6 +49,39 @@
 	Unverifiable *declarer.Unverifiable `cbor:"8,keyasint,omitempty"`
 }
 
+// NewJobReply returns the reply that carries a status.
+func NewJobReply(number RequestNumber, status declarer.Status) JobReply {
+	r := JobReply{Number: number, Known: status.Known, Ended: status.Ended, Tasks: status.Tasks}
+	switch e := status.Ending.(type) {
+	case nil:
+	case declarer.Complete:
+		r.Complete = &e
+	case declarer.Failed:
+		r.Failed = &e
+	case declarer.Refused:
+		r.Refused = &e
+	case declarer.Unverifiable:
+		r.Unverifiable = &e
+	}
+	return r
+}
+
+// Status returns the status that the reply carries.
+func (r JobReply) Status() declarer.Status {
+	status := declarer.Status{Known: r.Known, Ended: r.Ended, Tasks: r.Tasks}
+	switch {
+	case r.Complete != nil:
+		status.Ending = *r.Complete
+	case r.Failed != nil:
+		status.Ending = *r.Failed
+	case r.Refused != nil:
+		status.Ending = *r.Refused
+	case r.Unverifiable != nil:
+		status.Ending = *r.Unverifiable
+	}
+	return status
+}
+
 func (SubmitJob) isPeerMessage() {}
 func (AttachJob) isPeerMessage() {}
 func (CancelJob) isPeerMessage() {}
