--- a/internal/dispatcher/pump.go
+++ b/internal/dispatcher/pump.go
@@ -44,7 +44,7 @@
 	}
 	for _, ref := range slices.Backward(refs) {
 		if _, ok := placed[ref]; !ok {
-			m.limiter.Unplace(now, ref)
+			m.limiter.Unplace(ref)
 		}
 	}
 	return len(placements)
