--- /dev/null
+++ b/internal/enroller/effects.go
@@ -0,0 +1,39 @@
+package enroller
+
+import (
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// Effect is what an Enroller asks its shell to do.
+type Effect interface{ isEffect() }
+
+// Send sends a message to a peer.
+type Send struct {
+	To      identifier.Member
+	Message peermessenger.Message
+}
+
+// ReadRoster reads the roster from the store. It is answered by RosterRead or
+// StoreFailed.
+type ReadRoster struct{}
+
+// SwapRoster writes the roster to the store if the store still holds the
+// expected revision; 0 expects that it holds none. It is answered by
+// SwapSucceeded, SwapConflict, SwapUnknown or StoreFailed.
+type SwapRoster struct {
+	Expected Revision
+	Roster   *Roster
+}
+
+// Adopted says that the roster of a later epoch is in force on this VM.
+type Adopted struct{ Roster *Roster }
+
+// MemberGone says that a member's process is proved to have ended.
+type MemberGone struct{ Member identifier.Member }
+
+func (Send) isEffect()       {}
+func (ReadRoster) isEffect() {}
+func (SwapRoster) isEffect() {}
+func (Adopted) isEffect()    {}
+func (MemberGone) isEffect() {}
--- /dev/null
+++ b/internal/enroller/roster.go
@@ -0,0 +1,134 @@
+// Package enroller keeps the roster of one failure domain: the entry VM
+// processes that hold the claims on its submissions.
+//
+// The roster is one small value in the platform's store, changed by
+// compare-and-swap when a member joins, leaves or falls silent, and at no other
+// time. Each change makes a new epoch. Between changes the members tell each
+// other their epochs in heartbeats and pass the roster on themselves, so that
+// an unchanged roster costs the store nothing.
+package enroller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Bounds of a roster.
+const (
+	// MaxMembers bounds the members of one failure domain.
+	MaxMembers = 256
+	// MaxHistory bounds the epochs that a roster remembers. A roster that is
+	// full is not changed until its members are whole.
+	MaxHistory = 128
+)
+
+// Roster lists the members of a failure domain in one epoch. A roster is not
+// modified after it was made.
+type Roster struct {
+	Domain    identifier.FailureDomain `json:"domain"`
+	Epoch     identifier.Epoch         `json:"epoch"`
+	Members   []RosterMember           `json:"members"` // in the order of their VM ids
+	Base      identifier.Epoch         `json:"base"`    // the earliest epoch in History, or Epoch; see Next
+	History   []PastMembers            `json:"history"` // the epochs from Epoch-1 down to Base
+	CreatedAt time.Time                `json:"createdAt"`
+}
+
+// RosterMember is one member of a roster.
+type RosterMember struct {
+	Member  identifier.Member `json:"member"`
+	Address string            `json:"address"`           // host:port for peers
+	Leaving bool              `json:"leaving,omitempty"` // holds no claims from this epoch on
+}
+
+// PastMembers lists the members of an earlier epoch.
+type PastMembers struct {
+	Epoch   identifier.Epoch `json:"epoch"`
+	Members []RosterMember   `json:"members"`
+}
+
+// Find returns the roster's entry of a member.
+func (r *Roster) Find(m identifier.Member) (entry RosterMember, ok bool) {
+	for _, entry := range r.Members {
+		if entry.Member == m {
+			return entry, true
+		}
+	}
+	return RosterMember{}, false
+}
+
+// Address returns the address of a member of this or an earlier epoch.
+func (r *Roster) Address(m identifier.Member) (address string, ok bool) {
+	if entry, ok := r.Find(m); ok {
+		return entry.Address, true
+	}
+	for _, past := range r.History {
+		for _, entry := range past.Members {
+			if entry.Member == m {
+				return entry.Address, true
+			}
+		}
+	}
+	return "", false
+}
+
+// MembersAt returns the members of an epoch that the roster remembers.
+func (r *Roster) MembersAt(epoch identifier.Epoch) (members []RosterMember, ok bool) {
+	if epoch == r.Epoch {
+		return r.Members, true
+	}
+	if epoch < r.Base || epoch > r.Epoch {
+		return nil, false
+	}
+	return r.History[r.Epoch-1-epoch].Members, true
+}
+
+// Replaced reports whether a member of this or an earlier epoch is a later
+// incarnation of the same VM, which proves that m has ended.
+func (r *Roster) Replaced(m identifier.Member) bool {
+	later := func(entry RosterMember) bool {
+		return entry.Member.VM == m.VM && entry.Member.Incarnation > m.Incarnation
+	}
+	if slices.ContainsFunc(r.Members, later) {
+		return true
+	}
+	return slices.ContainsFunc(r.History, func(past PastMembers) bool {
+		return slices.ContainsFunc(past.Members, later)
+	})
+}
+
+// Next returns the roster of the following epoch. The argument whole says that
+// every member of r that is not leaving holds all records of its shards: then
+// no earlier epoch has to be remembered and r becomes the base. Next returns
+// false when the roster has no room for a change.
+func (r *Roster) Next(now time.Time, members []RosterMember, whole bool) (next *Roster, ok bool) {
+	past := []PastMembers{{Epoch: r.Epoch, Members: r.Members}}
+	base := r.Epoch
+	if !whole {
+		past = append(past, r.History...)
+		base = r.Base
+	}
+	if len(past) > MaxHistory || len(members) > MaxMembers {
+		return nil, false
+	}
+	return &Roster{
+		Domain:    r.Domain,
+		Epoch:     r.Epoch + 1,
+		Members:   sorted(members),
+		Base:      base,
+		History:   past,
+		CreatedAt: now,
+	}, true
+}
+
+// NewRoster returns the first roster of a failure domain.
+func NewRoster(now time.Time, domain identifier.FailureDomain, members []RosterMember) *Roster {
+	return &Roster{Domain: domain, Epoch: 1, Members: sorted(members), Base: 1, CreatedAt: now}
+}
+
+func sorted(members []RosterMember) []RosterMember {
+	s := slices.Clone(members)
+	slices.SortFunc(s, func(a, b RosterMember) int { return compareMembers(a.Member, b.Member) })
+	return s
+}
--- /dev/null
+++ b/internal/peermessenger/claimmessages.go
@@ -0,0 +1,150 @@
+package peermessenger
+
+import (
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// ClaimSerial numbers the claims of one member, from 1.
+type ClaimSerial uint64
+
+// UnixMillis is a time in milliseconds since the Unix epoch.
+type UnixMillis int64
+
+// EndingKind says whether and how a claimed job ended.
+type EndingKind uint8
+
+// The ending kinds.
+const (
+	NotEnded EndingKind = iota
+	EndedComplete
+	EndedFailed
+)
+
+// ClaimRecord is what a VM keeps of one claimed submission. At most one of the
+// endings is set; neither is when the job has not ended or when only the kind
+// of its ending is known here.
+type ClaimRecord struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	Digest     identifier.Digest       `cbor:"2,keyasint"`
+	Team       identifier.Team         `cbor:"3,keyasint"`
+	CreatedAt  UnixMillis              `cbor:"4,keyasint"` // when the caller made the id
+	Epoch      identifier.Epoch        `cbor:"5,keyasint"` // of the claim
+	Runner     identifier.Member       `cbor:"6,keyasint"` // the only member that may start the job under this claim
+	Serial     ClaimSerial             `cbor:"7,keyasint"` // of the claim, at its runner
+	Kind       EndingKind              `cbor:"8,keyasint"`
+	Complete   *declarer.Complete      `cbor:"9,keyasint,omitempty"`
+	Failed     *declarer.Failed        `cbor:"10,keyasint,omitempty"`
+}
+
+// ClaimRef names one claim.
+type ClaimRef struct {
+	Submission identifier.SubmissionID `cbor:"1,keyasint"`
+	Serial     ClaimSerial             `cbor:"2,keyasint"`
+}
+
+// RecordClaim asks the witness of a shard to record a claim of its home.
+type RecordClaim struct {
+	Epoch  identifier.Epoch `cbor:"1,keyasint"`
+	Record ClaimRecord      `cbor:"2,keyasint"`
+	Probe  bool             `cbor:"3,keyasint,omitempty"` // ask only whether the epoch is open; record nothing
+}
+
+// ClaimRecorded says that the witness has recorded a claim.
+type ClaimRecorded struct {
+	Epoch identifier.Epoch `cbor:"1,keyasint"`
+	Claim ClaimRef         `cbor:"2,keyasint"`
+}
+
+// WitnessRefusal says why a witness did not record a claim.
+type WitnessRefusal uint8
+
+// The reasons of a witness.
+const (
+	EpochClosed  WitnessRefusal = iota + 1 // the witness has learned of a later epoch
+	TableFull                              // the epoch is open; there is no room, or the claim was a probe
+	ClaimExpired                           // the id is past its age limit on the clock of the witness
+)
+
+// ClaimNotRecorded says that the witness has not recorded a claim.
+type ClaimNotRecorded struct {
+	Epoch   identifier.Epoch `cbor:"1,keyasint"` // of the request
+	Claim   ClaimRef         `cbor:"2,keyasint"`
+	Cause   WitnessRefusal   `cbor:"3,keyasint"`
+	Current identifier.Epoch `cbor:"4,keyasint"` // the latest epoch that the witness has learned of
+}
+
+// ShardCursor is a place in the records of a member, which are ordered by shard
+// and then by submission id.
+type ShardCursor struct {
+	Shard uint8                   `cbor:"1,keyasint"`
+	After identifier.SubmissionID `cbor:"2,keyasint"` // empty: from the first id of the shard
+}
+
+// FetchRecords asks for a page of records, and makes the receiver promise not
+// to act under any epoch before Epoch.
+type FetchRecords struct {
+	Epoch  identifier.Epoch `cbor:"1,keyasint"`
+	Shards uint64           `cbor:"2,keyasint"` // a bit for each shard
+	From   ShardCursor      `cbor:"3,keyasint"`
+}
+
+// ShardState is what a member knows of a shard as a whole.
+type ShardState struct {
+	Shard      uint8            `cbor:"1,keyasint"`
+	Whole      identifier.Epoch `cbor:"2,keyasint"` // latest epoch for which the member is whole; 0: none
+	LostBefore UnixMillis       `cbor:"3,keyasint"` // records of ids made until then may be lost; 0: none are
+}
+
+// RecordPage answers FetchRecords.
+type RecordPage struct {
+	Epoch   identifier.Epoch `cbor:"1,keyasint"` // of the request
+	Shards  uint64           `cbor:"2,keyasint"` // of the request
+	From    ShardCursor      `cbor:"3,keyasint"` // of the request
+	Current identifier.Epoch `cbor:"4,keyasint"` // the latest epoch that the sender has learned of
+	States  []ShardState     `cbor:"5,keyasint"` // of the shards that begin on this page
+	Records []ClaimRecord    `cbor:"6,keyasint"`
+	Next    ShardCursor      `cbor:"7,keyasint"`
+	Last    bool             `cbor:"8,keyasint"` // no page follows
+}
+
+// PageNumber numbers the pages that one member hands to another, from 1.
+type PageNumber uint64
+
+// HandRecords hands records to a member of their shards' pairs.
+type HandRecords struct {
+	Number  PageNumber    `cbor:"1,keyasint"`
+	Records []ClaimRecord `cbor:"2,keyasint"`
+}
+
+// RecordsHanded acknowledges HandRecords.
+type RecordsHanded struct {
+	Number PageNumber       `cbor:"1,keyasint"`
+	Epoch  identifier.Epoch `cbor:"2,keyasint"` // the latest epoch that the sender has learned of
+	Whole  uint64           `cbor:"3,keyasint"` // a bit for each shard for which the sender is whole in Epoch
+}
+
+// QueryClaim asks the runner of a claim what became of it, and makes the
+// receiver promise not to act under any epoch before Epoch.
+type QueryClaim struct {
+	Epoch identifier.Epoch `cbor:"1,keyasint"`
+	Claim ClaimRef         `cbor:"2,keyasint"`
+}
+
+// ClaimState answers QueryClaim. When the claim is not known, its runner has not
+// started the submission under it and never will.
+type ClaimState struct {
+	Claim  ClaimRef     `cbor:"1,keyasint"`
+	Known  bool         `cbor:"2,keyasint"`
+	Record *ClaimRecord `cbor:"3,keyasint,omitempty"` // when known
+}
+
+func (RecordClaim) isPeerMessage()      {}
+func (ClaimRecorded) isPeerMessage()    {}
+func (ClaimNotRecorded) isPeerMessage() {}
+func (FetchRecords) isPeerMessage()     {}
+func (RecordPage) isPeerMessage()       {}
+func (HandRecords) isPeerMessage()      {}
+func (RecordsHanded) isPeerMessage()    {}
+func (QueryClaim) isPeerMessage()       {}
+func (ClaimState) isPeerMessage()       {}
--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -29,6 +29,20 @@
 	102: reflect.TypeFor[CancelJob](),
 	103: reflect.TypeFor[JobReply](),
 	110: reflect.TypeFor[PeerTable](),
+
+	200: reflect.TypeFor[RecordClaim](),
+	201: reflect.TypeFor[ClaimRecorded](),
+	202: reflect.TypeFor[ClaimNotRecorded](),
+	203: reflect.TypeFor[FetchRecords](),
+	204: reflect.TypeFor[RecordPage](),
+	205: reflect.TypeFor[HandRecords](),
+	206: reflect.TypeFor[RecordsHanded](),
+	207: reflect.TypeFor[QueryClaim](),
+	208: reflect.TypeFor[ClaimState](),
+
+	300: reflect.TypeFor[Heartbeat](),
+	301: reflect.TypeFor[RosterRequest](),
+	302: reflect.TypeFor[RosterReply](),
 }
 
 var (
