feat(platformcaller,backendcaller,pepperstand): call the platform and backend servers

Cause: nothing yet speaks to the platform's store or to backend servers, and the other packages need both interfaces and stand-ins to run against.

Change: platformcaller defines Store, Lister and Leaser with a client over HTTP, a service in memory with faults that are set, and a recorder. backendcaller starts, stops and asks after tasks over HTTP/2 and tells a start that provably did not happen from one whose answer was lost: a new connection must have answered before a start is sent on it, and a request whose body the transport never read was never sent. pepperstand serves both stand-ins.

--- a/cmd/pepperstand/internal/cmd/rootcmd.go
+++ b/cmd/pepperstand/internal/cmd/rootcmd.go
@@ -2,8 +2,11 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
@@ -15,7 +18,9 @@
 	root.SetIn(stdin)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	if err := root.Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(stderr, "pepperstand: %v\n", err)
 		return 1
 	}
@@ -23,9 +28,15 @@
 }
 
 func newRootCmd() *cobra.Command {
-	return &cobra.Command{
+	c := &cobra.Command{
 		Use:           "pepperstand",
+		Short:         "Stand-ins for the platform and its backend servers",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	c.AddCommand(
+		newBackendCmd(),
+		newPlatformCmd(),
+	)
+	return c
 }
--- /dev/null
+++ b/internal/backendcaller/start.go
@@ -0,0 +1,114 @@
+package backendcaller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Start starts a task on the backend server at an address and waits for its
+// end. If the answer is lost on the way, it asks the server after the task for
+// a bounded time before the result is Lost. It sends the start at most once.
+func (c *Caller) Start(ctx context.Context, address string, s StartRequest) StartResult {
+	data, err := json.Marshal(newStartBody(s))
+	if err != nil {
+		return NotStarted{Reason: BadRequest, Detail: err.Error()}
+	}
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return NotStarted{Reason: Unreachable, Detail: err.Error()}
+	}
+	leaseEnd := time.Now().Add(s.Lease)
+	startCtx, cancel := context.WithDeadline(ctx, leaseEnd.Add(c.opts.AnswerGrace))
+	defer cancel()
+	r, err := newRequest(startCtx, address, http.MethodPost, "/v1/tasks/start", data)
+	if err != nil {
+		return NotStarted{Reason: BadRequest, Detail: err.Error()}
+	}
+	var resp endingResponse
+	err = exchange(conn, r, &resp)
+	result, settled := c.judge(r, resp, err)
+	if settled {
+		return result
+	}
+	if ctx.Err() != nil {
+		c.tally.waste(StartMessage, 1)
+		return Lost{Detail: ctx.Err().Error()}
+	}
+	return c.settle(ctx, address, s, leaseEnd, err)
+}
+
+func newStartBody(s StartRequest) startBody {
+	return startBody{
+		taskRefBody:  taskRefBody(s.Task),
+		Holder:       s.Holder,
+		Unrepeatable: s.Unrepeatable,
+		LeaseMillis:  s.Lease.Milliseconds(),
+		Millicores:   s.Millicores,
+		Memory:       s.Memory,
+		Accelerators: s.Accelerators,
+		Payload:      s.Payload,
+	}
+}
+
+// judge returns the result of a start whose exchange has ended, or false if the
+// answer was lost.
+func (c *Caller) judge(r *http.Request, resp endingResponse, err error) (StartResult, bool) {
+	if err == nil {
+		result, ok := resp.result()
+		if ok {
+			c.tally.need(StartMessage, 1)
+			c.tally.need(ResultMessage, 1)
+		}
+		return result, ok
+	}
+	var refused *statusError
+	if errors.As(err, &refused) {
+		c.tally.waste(StartMessage, 1)
+		c.tally.waste(RefusalMessage, 1)
+		return NotStarted{Reason: Reason(refused.refusal.Refused), Detail: refused.refusal.Detail}, true
+	}
+	if body, ok := r.Body.(*requestBody); ok && !body.begun.Load() {
+		return NotStarted{Reason: Unreachable, Detail: err.Error()}, true
+	}
+	return nil, false
+}
+
+// settle asks after a task whose answer was lost. A task that runs is followed
+// to its end. That the server does not know the task proves nothing: the start
+// may still be on its way, or the server may be a new one at the same address.
+func (c *Caller) settle(ctx context.Context, address string, s StartRequest, leaseEnd time.Time, cause error) StartResult {
+	bound := time.Now().Add(c.opts.SettleTimeout)
+	detail := cause.Error()
+	for ctx.Err() == nil && time.Now().Before(bound) {
+		wait := min(time.Until(bound), c.opts.RequestTimeout) / 2
+		report, err := c.query(ctx, address, s.Task, wait)
+		switch {
+		case err != nil:
+			detail = err.Error()
+			pause(ctx, c.opts.ReconnectDelay)
+		case report.Result != nil:
+			c.tally.need(StartMessage, 1)
+			return report.Result
+		case report.State != Running:
+			c.tally.waste(StartMessage, 1)
+			return Lost{Detail: "the answer was lost, and the server says: " + string(report.State)}
+		default:
+			bound = leaseEnd.Add(c.opts.AnswerGrace)
+		}
+	}
+	c.tally.waste(StartMessage, 1)
+	return Lost{Detail: "the answer was lost: " + detail}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/backendcaller/startrequest.go
@@ -0,0 +1,19 @@
+package backendcaller
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// StartRequest asks a backend server to start a task.
+type StartRequest struct {
+	Task         identifier.TaskRef
+	Holder       identifier.VMID // that answers for the task
+	Unrepeatable bool
+	Lease        time.Duration // after which the server stops the task
+	Millicores   identifier.Millicores
+	Memory       identifier.Mebibytes
+	Accelerators int
+	Payload      []byte // JSON
+}
--- /dev/null
+++ b/internal/backendcaller/startresult.go
@@ -0,0 +1,61 @@
+package backendcaller
+
+import "time"
+
+// StartResult is what became of a start: Succeeded, TaskFailed, NotStarted or
+// Lost.
+type StartResult interface{ isStartResult() }
+
+// Succeeded is the result of a task that ran and succeeded.
+type Succeeded struct {
+	Output  []byte // JSON
+	RunTime time.Duration
+}
+
+// TaskFailed is the result of a task that ran and did not succeed. It no longer
+// runs.
+type TaskFailed struct {
+	Cause   FailureCause
+	Detail  string
+	RunTime time.Duration
+}
+
+// NotStarted is the result of a start that provably did not happen: the server
+// refused it, or the request was never sent.
+type NotStarted struct {
+	Reason Reason
+	Detail string
+}
+
+// Lost is the result of a start of which nothing more is known: the task may
+// never have started, may run or may have ended.
+type Lost struct{ Detail string }
+
+func (Succeeded) isStartResult()  {}
+func (TaskFailed) isStartResult() {}
+func (NotStarted) isStartResult() {}
+func (Lost) isStartResult()       {}
+
+// FailureCause says why a task did not succeed.
+type FailureCause string
+
+// The failure causes.
+const (
+	FailedItself FailureCause = "failed"
+	Stopped      FailureCause = "stopped"     // by Stop
+	LeaseLapsed  FailureCause = "leaseLapsed" // the server stopped it
+	Died         FailureCause = "died"        // with its server, which says so
+)
+
+// Reason says why a task was not started.
+type Reason string
+
+// The reasons.
+const (
+	Full        Reason = "full"     // no free slot
+	Leaving     Reason = "leaving"  // the server takes no new work
+	TooLarge    Reason = "tooLarge" // for this server at any time
+	Cancelled   Reason = "cancelled"
+	BadRequest  Reason = "badRequest"
+	Unreachable Reason = "unreachable" // no connection, so that no request was sent
+)
--- /dev/null
+++ b/internal/standin/backendserver/handler.go
@@ -0,0 +1,79 @@
+package backendserver
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Headers by which a caller names itself on the first request of a connection.
+const (
+	CallerHeader        = "Backend-Caller"
+	FailureDomainHeader = "Backend-Caller-Failure-Domain"
+)
+
+const (
+	maxRequestSize = 4 << 20 // bytes
+	maxNameSize    = 256     // bytes
+	maxLease       = time.Hour
+)
+
+func (s *server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/hello", s.getHello)
+	mux.HandleFunc("POST /v1/tasks/start", s.postStart)
+	mux.HandleFunc("POST /v1/tasks/stop", s.postStop)
+	mux.HandleFunc("POST /v1/tasks/query", s.postQuery)
+	mux.HandleFunc("POST /v1/tasks/throttle", s.postThrottle)
+	mux.HandleFunc("POST /v1/tasks/checkpoint", s.postCheckpoint)
+	mux.HandleFunc("GET /v1/usage", s.getUsage)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.identify(r)
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// identify notes who is at the other end of the request's connection, and waits
+// while that caller is cut off.
+func (s *server) identify(r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || c.peer.Load() != nil {
+		return
+	}
+	c.peer.Store(&peer{
+		caller: identifier.VMID(r.Header.Get(CallerHeader)),
+		domain: identifier.FailureDomain(r.Header.Get(FailureDomainHeader)),
+	})
+	c.await()
+}
+
+// decodeRequest decodes the JSON body of a request into v, or answers that it
+// can't and returns false.
+func decodeRequest(w http.ResponseWriter, r *http.Request, v any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestSize))
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	if err != nil {
+		refuseRequest(w, err.Error())
+		return false
+	}
+	return true
+}
+
+func refuseRequest(w http.ResponseWriter, detail string) {
+	respond(w, http.StatusBadRequest, refusalResponse{Refused: "badRequest", Detail: detail})
+}
+
+func respond(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the caller may be gone
+}
--- /dev/null
+++ b/internal/standin/backendserver/listener.go
@@ -0,0 +1,25 @@
+package backendserver
+
+import "net"
+
+// listener accepts connections for a server up to its limit. A connection over
+// the limit is closed at once.
+type listener struct {
+	net.Listener
+	server *server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc, server: l.server, closed: make(chan struct{})}
+		if l.server.take(c) {
+			return c, nil
+		}
+		_ = nc.Close() // over the limit
+	}
+}
--- /dev/null
+++ b/internal/standin/backendserver/server.go
@@ -0,0 +1,189 @@
+package backendserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+)
+
+const (
+	maxStreams    = 1024 // of one connection at a time
+	headerTimeout = 5 * time.Second
+)
+
+// server is one backend server: a listener of its own and slots for tasks.
+type server struct {
+	id      identifier.BackendID
+	rack    identifier.RackID
+	domain  identifier.FailureDomain
+	opts    Options
+	auditor *auditor
+	stall   atomic.Pointer[stall]
+	serving sync.WaitGroup
+
+	mu       sync.Mutex
+	address  string
+	faults   Faults
+	http     *http.Server // nil while dead
+	conns    map[*conn]struct{}
+	rejected uint64 // connections over the limit
+	table    taskTable
+	running  identifier.Slots
+	thawing  []*task // whose timers fired while the server was frozen
+	usage    usageResponse
+}
+
+// listen opens the server's listener, at the same address as before if it had
+// one, and serves.
+func (s *server) listen(address string) (err error) {
+	defer func() { err = errors.Wrapf(err, "backend server %s", s.id) }()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = l.Addr().String()
+	s.conns = make(map[*conn]struct{})
+	s.http = s.newHTTPServer()
+	hs := s.http
+	s.serving.Go(func() {
+		_ = hs.Serve(&listener{Listener: l, server: s}) // ends by Close alone
+	})
+	return nil
+}
+
+func (s *server) newHTTPServer() *http.Server {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           s.handler(),
+		Protocols:         &protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ReadHeaderTimeout: headerTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+}
+
+// connKey is the key of a request's *conn in its context.
+type connKey struct{}
+
+// take counts a new connection in, unless the server is at its limit or dead.
+func (s *server) take(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http == nil || len(s.conns) >= s.opts.Connections {
+		s.rejected++
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *server) release(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// vm returns the server's entry in the platform's list.
+func (s *server) vm() platformcaller.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platformcaller.VM{
+		ID:            string(s.id),
+		Kind:          platformcaller.BackendServer,
+		FailureDomain: s.domain,
+		Rack:          s.rack,
+		Address:       s.address,
+		State:         s.state(),
+		Slots:         s.opts.Slots,
+		Connections:   s.opts.Connections,
+		Millicores:    s.opts.Millicores,
+		Memory:        s.opts.Memory,
+		Accelerators:  s.opts.Accelerators,
+	}
+}
+
+// state returns the server's state. The caller holds mu.
+func (s *server) state() platformcaller.VMState {
+	if s.faults.Leaving {
+		return platformcaller.Leaving
+	}
+	return platformcaller.Live
+}
+
+// present reports whether the platform sees the server.
+func (s *server) present() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http != nil && !s.faults.Frozen && !s.faults.Cut
+}
+
+// setFaults replaces the server's faults.
+func (s *server) setFaults(f Faults) error {
+	s.mu.Lock()
+	dead := s.http == nil
+	address := s.address
+	s.faults = f
+	thawed := s.thaw()
+	s.mu.Unlock()
+	s.setStall(f)
+	for _, t := range thawed {
+		s.expire(t)
+	}
+	switch {
+	case f.Dead && !dead:
+		s.kill()
+	case !f.Dead && dead:
+		return s.listen(address)
+	}
+	return nil
+}
+
+// setStall replaces what holds the connections back.
+func (s *server) setStall(f Faults) {
+	var next *stall
+	if f.Frozen || f.Cut || len(f.CutCallers) > 0 || len(f.CutFailureDomains) > 0 {
+		next = &stall{
+			all:     f.Frozen || f.Cut,
+			callers: f.CutCallers,
+			domains: f.CutFailureDomains,
+			lifted:  make(chan struct{}),
+		}
+	}
+	if before := s.stall.Swap(next); before != nil {
+		close(before.lifted)
+	}
+}
+
+// kill ends all tasks with the server and closes its listener and connections.
+func (s *server) kill() {
+	s.mu.Lock()
+	hs := s.http
+	if hs == nil {
+		s.mu.Unlock()
+		return
+	}
+	s.http = nil
+	now := time.Now()
+	for _, t := range s.table.tasks {
+		if t.running() {
+			s.end(now, t, Died, "the backend server died")
+		}
+	}
+	s.table = newTaskTable()
+	s.mu.Unlock()
+	_ = hs.Close() // the listener's own error is of no use here
+	s.serving.Wait()
+}
--- /dev/null
+++ b/internal/standin/platformserver/faults.go
@@ -0,0 +1,82 @@
+package platformserver
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+)
+
+// faultsBody is the body of both a request that sets faults and of the answers.
+// A field that a request leaves out keeps its setting.
+type faultsBody struct {
+	Down                  bool                       `json:"down"`
+	DelayMillis           int64                      `json:"delayMillis"`
+	LoseAnswers           int                        `json:"loseAnswers"`
+	LoseAnswerProbability float64                    `json:"loseAnswerProbability"`
+	ListLagMillis         int64                      `json:"listLagMillis"`
+	CutCallers            []identifier.VMID          `json:"cutCallers"`
+	CutFailureDomains     []identifier.FailureDomain `json:"cutFailureDomains"`
+	LapseLeases           []platformcaller.LeaseID   `json:"lapseLeases,omitempty"` // at once, and not a setting
+}
+
+func newFaultsBody(f platformcaller.Faults) faultsBody {
+	return faultsBody{
+		Down:                  f.Down,
+		DelayMillis:           f.Delay.Milliseconds(),
+		LoseAnswers:           f.LoseAnswers,
+		LoseAnswerProbability: f.LoseAnswerProbability,
+		ListLagMillis:         f.ListLag.Milliseconds(),
+		CutCallers:            f.CutCallers,
+		CutFailureDomains:     f.CutFailureDomains,
+	}
+}
+
+func (b faultsBody) faults() platformcaller.Faults {
+	return platformcaller.Faults{
+		Down:                  b.Down,
+		Delay:                 time.Duration(b.DelayMillis) * time.Millisecond,
+		LoseAnswers:           b.LoseAnswers,
+		LoseAnswerProbability: b.LoseAnswerProbability,
+		ListLag:               time.Duration(b.ListLagMillis) * time.Millisecond,
+		CutCallers:            b.CutCallers,
+		CutFailureDomains:     b.CutFailureDomains,
+	}
+}
+
+// check returns the name of the first wrong field and what is wrong, or "".
+func (b faultsBody) check() string {
+	switch {
+	case b.DelayMillis < 0:
+		return "delayMillis: negative"
+	case b.LoseAnswers < 0:
+		return "loseAnswers: negative"
+	case b.LoseAnswerProbability < 0 || b.LoseAnswerProbability > 1:
+		return "loseAnswerProbability: not from 0 to 1"
+	case b.ListLagMillis < 0:
+		return "listLagMillis: negative"
+	default:
+		return ""
+	}
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	respond(w, http.StatusOK, newFaultsBody(s.memory.Faults()))
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	body := newFaultsBody(s.memory.Faults())
+	if !decodeRequest(w, r, &body) {
+		return
+	}
+	if wrong := body.check(); wrong != "" {
+		refuseRequest(w, wrong)
+		return
+	}
+	s.memory.SetFaults(body.faults())
+	for _, lease := range body.LapseLeases {
+		s.memory.Lapse(lease)
+	}
+	respond(w, http.StatusOK, newFaultsBody(s.memory.Faults()))
+}
--- /dev/null
+++ b/internal/standin/platformserver/server.go
@@ -0,0 +1,88 @@
+// Package platformserver is a small stand-in for the platform's service: a
+// key-value service with compare-and-swap, leases and watches, and a lagging
+// list of VMs, over HTTP. Its faults are set at run time.
+package platformserver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+)
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
+// Options are the options of a Server.
+type Options struct {
+	WatchBound time.Duration // how long a watch waits; 0 takes platformcaller.DefaultWatchBound
+	ListLag    time.Duration // how far the list of VMs lags behind
+	Seed       uint64        // of the faults that come by chance
+}
+
+// Server is the stand-in. The zero value can't be used; see New.
+type Server struct {
+	memory *platformcaller.Memory
+	http   *http.Server
+}
+
+// New returns a Server with an empty store.
+func New(opts Options) *Server {
+	s := &Server{memory: platformcaller.NewMemory(platformcaller.MemoryOptions{
+		WatchBound: opts.WatchBound,
+		ListLag:    opts.ListLag,
+		Seed:       opts.Seed,
+	})}
+	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
+	return s
+}
+
+// Memory returns the service behind the server. Its faults and its list of VMs
+// can be set there.
+func (s *Server) Memory() *platformcaller.Memory {
+	return s.memory
+}
+
+// Serve answers the connections that l accepts until Close.
+func (s *Server) Serve(l net.Listener) (err error) {
+	defer func() { err = errors.Wrap(err, "serving the platform's stand-in") }()
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Close fails the watches that wait, closes all listeners and connections, and
+// waits for the requests in progress.
+func (s *Server) Close() error {
+	s.memory.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(s.http.Close(), "closing the platform's stand-in")
+	}
+	return nil
+}
+
+// Handler returns the handler of all requests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/keys/{key...}", s.getKey)
+	mux.HandleFunc("PUT /v1/keys/{key...}", s.putKey)
+	mux.HandleFunc("POST /v1/leases", s.postLease)
+	mux.HandleFunc("POST /v1/leases/{lease}/keepalive", s.postKeepAlive)
+	mux.HandleFunc("DELETE /v1/leases/{lease}", s.deleteLease)
+	mux.HandleFunc("GET /v1/vms", s.getVMs)
+	mux.HandleFunc("POST /v1/vms", s.postVMs)
+	mux.HandleFunc("DELETE /v1/vms", s.deleteVMs)
+	mux.HandleFunc("GET /v1/counters", s.getCounters)
+	mux.HandleFunc("GET /v1/faults", s.getFaults)
+	mux.HandleFunc("POST /v1/faults", s.postFaults)
+	return mux
+}
