feat(profilekeeper): hold the book of profiles and decide how it spreads

Cause: an accepted change has to be in force on every VM within seconds and must never revert, with few calls of the store and no store of our own. Change: one stored value holds profiles, token records, a bounded history and a bounded table of request ids; requests are applied whole or refused with a typed error. A chain hash over the changes tells books of one version apart.

--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -43,6 +43,11 @@
 	300: reflect.TypeFor[Heartbeat](),
 	301: reflect.TypeFor[RosterRequest](),
 	302: reflect.TypeFor[RosterReply](),
+
+	600: reflect.TypeFor[ProfileDigest](),
+	601: reflect.TypeFor[ProfilePull](),
+	602: reflect.TypeFor[ProfileChanges](),
+	603: reflect.TypeFor[ProfileBook](),
 }
 
 var (
--- /dev/null
+++ b/internal/profilekeeper/chain.go
@@ -0,0 +1,41 @@
+package profilekeeper
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// Chain is a hash over all changes up to a version, each with the chain before
+// it. Two books of one version with one chain went through the same changes.
+type Chain uint64
+
+const chainLength = 8 // bytes
+
+// next returns the chain after one more change.
+func (c Chain) next(change Change) Chain {
+	var d xxhash.Digest
+	_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(c)))
+	_, _ = d.Write(encodeChange(change))
+	return Chain(d.Sum64())
+}
+
+// String returns the chain in hexadecimal.
+func (c Chain) String() string {
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(nil, uint64(c)))
+}
+
+// MarshalText returns the chain in hexadecimal.
+func (c Chain) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText reads a chain in hexadecimal.
+func (c *Chain) UnmarshalText(text []byte) error {
+	data, err := hex.DecodeString(string(text))
+	if err != nil || len(data) != chainLength {
+		return errors.Newf("a chain is %d hexadecimal digits", 2*chainLength)
+	}
+	*c = Chain(binary.BigEndian.Uint64(data))
+	return nil
+}
--- /dev/null
+++ b/internal/profilekeeper/change.go
@@ -0,0 +1,47 @@
+package profilekeeper
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/authenticator"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+// ChangeKind says what a change did.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Created      ChangeKind = "created"
+	Changed      ChangeKind = "changed"
+	Retired      ChangeKind = "retired"
+	Revived      ChangeKind = "revived" // a retired profile was created anew, knowingly
+	TokenCreated ChangeKind = "tokenCreated"
+	TokenRetired ChangeKind = "tokenRetired"
+)
+
+// Change is one accepted change. It holds the profile or the token as it is
+// after the change.
+type Change struct {
+	Version identifier.ProfileVersion `cbor:"1,keyasint" json:"version"`
+	ID      identifier.ChangeID       `cbor:"2,keyasint" json:"id"`
+	Author  string                    `cbor:"3,keyasint" json:"author"`
+	Reason  string                    `cbor:"4,keyasint" json:"reason"`
+	At      time.Time                 `cbor:"5,keyasint" json:"at"`
+	Kind    ChangeKind                `cbor:"6,keyasint" json:"kind"`
+	Request uint64                    `cbor:"9,keyasint" json:"request"` // hash of what the request asked for
+	Profile *profileparser.Profile    `cbor:"7,keyasint,omitempty" json:"profile,omitempty"`
+	Token   *authenticator.Record     `cbor:"8,keyasint,omitempty" json:"token,omitempty"`
+}
+
+// Subject names what was changed.
+func (c Change) Subject() string {
+	switch {
+	case c.Profile != nil:
+		return string(c.Profile.Name)
+	case c.Token != nil:
+		return string(c.Token.ID)
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/profilekeeper/request.go
@@ -0,0 +1,60 @@
+package profilekeeper
+
+import (
+	"regexp"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Bounds of a request.
+const (
+	MaxOperations   = 500
+	MaxReasonLength = 500 // bytes
+	MaxAuthorLength = 64  // bytes
+)
+
+var changeIDPattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$`)
+
+// Request asks for operations that are all accepted or all refused.
+type Request struct {
+	ID         identifier.ChangeID // repeated by every attempt at the same request
+	Author     string
+	Reason     string
+	At         time.Time
+	Operations []Operation
+}
+
+// Accepted says which versions of the book a request made.
+type Accepted struct {
+	ID       identifier.ChangeID
+	First    identifier.ProfileVersion
+	Last     identifier.ProfileVersion
+	Repeated bool // an earlier attempt had been accepted already
+}
+
+func (r Request) check() error {
+	switch {
+	case !changeIDPattern.MatchString(string(r.ID)):
+		return &InvalidRequestError{Field: "changeId", Problem: "is not a letter or digit, then up to 63 letters, digits, dots, hyphens and underscores"}
+	case r.Author == "" || len(r.Author) > MaxAuthorLength:
+		return &InvalidRequestError{Field: "author", Problem: "is empty or too long"}
+	case r.Reason == "" || len(r.Reason) > MaxReasonLength:
+		return &InvalidRequestError{Field: "reason", Problem: "is empty or too long"}
+	case len(r.Operations) == 0 || len(r.Operations) > MaxOperations:
+		return &InvalidRequestError{Field: "operations", Problem: "are none or too many"}
+	}
+	return nil
+}
+
+// hash identifies what the request asks for.
+func (r Request) hash() uint64 {
+	var d xxhash.Digest
+	for _, o := range r.Operations {
+		_, _ = d.Write([]byte{operationKind(o)})
+		_, _ = d.Write(mustEncode(o))
+	}
+	return d.Sum64()
+}
