feat(loader): offer a seeded open-loop workload and check each answer

Cause: response times, endings and promises have to be measured on real processes with the same workload for each policy.

Change: a planner decides Poisson arrivals, run times (uniform, Pareto, lognormal, a share of long ones), wrong declarations, teams, resubmissions to any entry VM, bursts and cancellation waves from the seed. The run sends them open loop, checks every output's checksum, keeps histograms of response time over the ideal, reads counters before and after, and audits the starts.

--- /dev/null
+++ b/internal/loader/backendaudit.go
@@ -0,0 +1,74 @@
+package loader
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/auditor"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+const (
+	auditLimit     = 1 << 30 // bytes
+	auditLineLimit = 1 << 20 // bytes
+)
+
+// backendSummary is the part of the backend servers' audit summary that is read.
+type backendSummary struct {
+	Starts      uint64           `json:"starts"`
+	Running     uint64           `json:"running"`
+	Endings     map[string]int64 `json:"endings"`
+	Refusals    map[string]int64 `json:"refusals"`
+	RecordsKept uint64           `json:"recordsKept"`
+}
+
+// backendStart is the part of an audit record that is read.
+type backendStart struct {
+	Sequence   uint64                  `json:"sequence"`
+	Server     identifier.BackendID    `json:"server"`
+	Submission identifier.SubmissionID `json:"submission"`
+	Index      identifier.TaskIndex    `json:"index"`
+	StartedAt  time.Time               `json:"startedAt"`
+}
+
+func (s *scraper) backendSummary(ctx context.Context, address string) (summary backendSummary, err error) {
+	body, err := s.get(ctx, "http://"+address+"/v1/audit/summary", scrapeLimit)
+	if err != nil {
+		return backendSummary{}, err
+	}
+	return summary, errors.Wrap(json.Unmarshal(body, &summary), "audit summary")
+}
+
+// starts returns the starts that follow a sequence number. It fails if some are
+// no longer kept, since an audit of a part proves nothing.
+func (s *scraper) starts(ctx context.Context, address string, after uint64) (starts []auditor.Start, err error) {
+	defer func() { err = errors.Wrap(err, "reading the backend servers' audit") }()
+	body, err := s.get(ctx, fmt.Sprintf("http://%s/v1/audit?after=%d", address, after), auditLimit)
+	if err != nil {
+		return nil, err
+	}
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	lines.Buffer(nil, auditLineLimit)
+	for lines.Scan() {
+		var line backendStart
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return nil, err
+		}
+		after++
+		if line.Sequence != after {
+			return nil, errors.Newf("start %d is no longer kept", after)
+		}
+		starts = append(starts, auditor.Start{
+			Task:    identifier.TaskRef{Submission: line.Submission, Index: line.Index},
+			Backend: line.Server,
+			At:      line.StartedAt,
+		})
+	}
+	return starts, lines.Err()
+}
--- /dev/null
+++ b/internal/loader/report.go
@@ -0,0 +1,119 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/auditor"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Seed        uint64                      `json:"seed"`
+	Load        float64                     `json:"load"`
+	Slots       identifier.Slots            `json:"slots"`
+	Elapsed     time.Duration               `json:"elapsedNanos"`
+	RoundTrip   time.Duration               `json:"roundTripNanos"`
+	Jobs        int                         `json:"jobs"`
+	Tasks       int                         `json:"tasks"`
+	NotSent     int                         `json:"notSent"`
+	LeftOver    int                         `json:"leftOver"` // requests without an answer at the end
+	Lateness    time.Duration               `json:"latenessNanos"`
+	Endings     map[string]int              `json:"endings"`
+	Causes      map[string]int              `json:"causes"`
+	All         Figures                     `json:"all"`
+	Teams       map[identifier.Team]Figures `json:"teams"`
+	Seconds     []Figures                   `json:"seconds"`
+	Messages    Messages                    `json:"messages"`
+	Cost        Cost                        `json:"cost"`
+	Audited     bool                        `json:"audited"`
+	Starts      int                         `json:"starts"`
+	Violations  []auditor.Violation         `json:"violations"`
+	Unreachable []string                    `json:"unreachable"` // counters that could not be read
+}
+
+// Figures are the measures of a group of jobs. Ratios are response times over
+// the ideal: the job's longest task and one network round trip.
+type Figures struct {
+	Offered int     `json:"offered"`
+	Good    int     `json:"good"` // complete, checked and in time
+	Goodput float64 `json:"goodput"`
+	P50     float64 `json:"p50"`
+	P99     float64 `json:"p99"`
+	P999    float64 `json:"p999"`
+	Max     float64 `json:"max"`
+	// AddedP50 and AddedP99 are the response time beyond the ideal.
+	AddedP50 time.Duration `json:"addedP50Nanos"`
+	AddedP99 time.Duration `json:"addedP99Nanos"`
+}
+
+// Quantiles of the figures, in percent.
+const (
+	median     = 50
+	percent99  = 99
+	percent999 = 99.9
+)
+
+func (s *series) figures() Figures {
+	ratio := func(q float64) float64 { return float64(s.ratio.ValueAtQuantile(q)) / ratioUnit }
+	added := func(q float64) time.Duration { return time.Duration(s.added.ValueAtQuantile(q)) * time.Microsecond }
+	f := Figures{
+		Offered:  s.offered,
+		Good:     s.good,
+		P50:      ratio(median),
+		P99:      ratio(percent99),
+		P999:     ratio(percent999),
+		Max:      float64(s.ratio.Max()) / ratioUnit,
+		AddedP50: added(median),
+		AddedP99: added(percent99),
+	}
+	if s.offered > 0 {
+		f.Goodput = float64(s.good) / float64(s.offered)
+	}
+	return f
+}
+
+// WriteText writes the report for a reader.
+func (r Report) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "seed\t%d\n", r.Seed)
+	fmt.Fprintf(t, "offered\t%d jobs, %d tasks, %.0f%% of %d slots\n", r.Jobs, r.Tasks, r.Load*100, r.Slots)
+	fmt.Fprintf(t, "elapsed\t%v\n", r.Elapsed.Round(time.Millisecond))
+	fmt.Fprintf(t, "round trip\t%v\n", r.RoundTrip.Round(time.Microsecond))
+	for _, name := range slices.Sorted(maps.Keys(r.Endings)) {
+		fmt.Fprintf(t, "%s\t%d\n", name, r.Endings[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Causes)) {
+		fmt.Fprintf(t, "  %s\t%d\n", name, r.Causes[name])
+	}
+	fmt.Fprintf(t, "goodput\t%.2f%%\n", r.All.Goodput*100)
+	fmt.Fprintf(t, "response over ideal\tp50 %.3f  p99 %.3f  p99.9 %.3f  max %.3f\n", r.All.P50, r.All.P99, r.All.P999, r.All.Max)
+	fmt.Fprintf(t, "added time\tp50 %v  p99 %v\n", r.All.AddedP50, r.All.AddedP99)
+	r.Messages.writeText(t, r.Tasks)
+	r.Cost.writeText(t)
+	fmt.Fprintf(t, "late arrivals of the load tool\tat most %v\n", r.Lateness.Round(time.Microsecond))
+	fmt.Fprintf(t, "not sent\t%d\n", r.NotSent)
+	fmt.Fprintf(t, "left over\t%d\n", r.LeftOver)
+	r.writeAudit(t)
+	return t.Flush()
+}
+
+func (r Report) writeAudit(w io.Writer) {
+	if !r.Audited {
+		fmt.Fprintf(w, "audit\tnot run: no control address of the backend servers\n")
+		return
+	}
+	fmt.Fprintf(w, "starts seen\t%d\n", r.Starts)
+	fmt.Fprintf(w, "violations\t%d\n", len(r.Violations))
+	for _, violation := range r.Violations {
+		fmt.Fprintf(w, "  %s\n", violation)
+	}
+	for _, address := range r.Unreachable {
+		fmt.Fprintf(w, "  counters not read\t%s\n", address)
+	}
+}
--- /dev/null
+++ b/internal/loader/request.go
@@ -0,0 +1,137 @@
+package loader
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/auditor"
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/jobsubmitter"
+)
+
+// send starts the requests of one job: the first, and its copies to any entry
+// VM under the same id.
+func (r *run) send(ctx context.Context, job PlannedJob, rng *rand.Rand) {
+	submitter := r.submitters[job.Team]
+	submission, err := newSubmission(r.opts.Workload, job)
+	if err == nil {
+		submission, err = submitter.Prepare(submission)
+	}
+	if err != nil {
+		r.notSent++
+		return
+	}
+	r.spawn(func() { r.first(ctx, submitter, submission, job) })
+	for i, delay := range job.Copies {
+		duplicate := submission
+		duplicate.FirstAttempt = identifier.Attempt(i + 2)
+		duplicate.Address = r.opts.EntryVMs[rng.IntN(len(r.opts.EntryVMs))]
+		r.spawn(func() { r.again(ctx, submitter, duplicate, delay) })
+	}
+}
+
+func (r *run) spawn(request func()) {
+	r.inFlight <- struct{}{}
+	r.waiting.Add(1)
+	r.wg.Go(func() {
+		defer func() { <-r.inFlight }()
+		defer r.waiting.Add(-1)
+		request()
+	})
+}
+
+// first sends a job's first request and records how the job ended.
+func (r *run) first(ctx context.Context, s *jobsubmitter.Submitter, submission jobsubmitter.Submission, job PlannedJob) {
+	done := make(chan struct{})
+	r.wg.Go(func() { r.cancelInWave(ctx, s, submission.ID, job, done) })
+	observation := r.ask(ctx, s, submission)
+	close(done)
+	o := outcome{
+		job:      job,
+		ending:   observation.Ending,
+		response: observation.Received.Sub(r.start) - job.At,
+		ideal:    job.Longest() + r.roundTrip,
+	}
+	answer, isComplete := observation.Ending.(declarer.Complete)
+	o.whole = isComplete && len(answer.Outputs) == len(submission.Tasks) && len(observation.WrongOutputs) == 0
+	o.inTime = submission.Deadline == 0 || o.response <= submission.Deadline
+	r.recorder.record(o)
+}
+
+// again sends a further request with the id of a job.
+func (r *run) again(ctx context.Context, s *jobsubmitter.Submitter, submission jobsubmitter.Submission, delay time.Duration) {
+	if !pause(ctx, delay) {
+		return
+	}
+	r.ask(ctx, s, submission)
+}
+
+// ask sends one request and notes what its caller saw.
+func (r *run) ask(ctx context.Context, s *jobsubmitter.Submitter, submission jobsubmitter.Submission) auditor.Observation {
+	sent := time.Now()
+	answer, err := s.Submit(ctx, submission)
+	o := auditor.Observation{
+		Submission:   submission.ID,
+		Tasks:        len(submission.Tasks),
+		Unrepeatable: submission.Unrepeatable,
+		Sent:         sent,
+		Received:     time.Now(),
+		Ending:       answer.Ending,
+	}
+	o.WrongCaller, o.Malformed = faultOf(err)
+	if ending, ok := answer.Ending.(declarer.Complete); ok {
+		o.WrongOutputs = wrongOutputs(submission, ending.Outputs)
+		o.Ending = declarer.Complete{Outputs: make([][]byte, len(ending.Outputs))}
+	}
+	r.recorder.observe(o)
+	return o
+}
+
+// faultOf tells an answer that breaks the callers' API from a lost one.
+func faultOf(err error) (wrongCaller bool, malformed string) {
+	var wrong *jobsubmitter.WrongSubmissionError
+	if errors.As(err, &wrong) {
+		return true, ""
+	}
+	var broken *jobsubmitter.MalformedAnswerError
+	if errors.As(err, &broken) {
+		return false, broken.Error()
+	}
+	return false, ""
+}
+
+// cancelInWave cancels a job that is in flight when a wave takes it.
+func (r *run) cancelInWave(
+	ctx context.Context, s *jobsubmitter.Submitter, id identifier.SubmissionID, job PlannedJob, done <-chan struct{},
+) {
+	for i, wave := range r.opts.Workload.CancelWaves {
+		if !job.Cancels[i] || wave.At < job.At {
+			continue
+		}
+		timer := time.NewTimer(time.Until(r.start.Add(wave.At)))
+		select {
+		case <-done:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+			_, _ = s.Cancel(ctx, id) // the job's own answer says how it ended
+		}
+		return
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/loader/run.go
@@ -0,0 +1,163 @@
+package loader
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/jobsubmitter"
+)
+
+const copyStream = 10 // the random stream that picks entry VMs for copies
+
+// run is one run of a workload.
+type run struct {
+	opts       Options
+	submitters []*jobsubmitter.Submitter // one a team
+	recorder   *recorder
+	roundTrip  time.Duration
+	start      time.Time
+
+	inFlight chan struct{} // a place for each request
+	wg       sync.WaitGroup
+	notSent  int
+	lateness time.Duration
+	waiting  atomic.Int64
+}
+
+// Run offers the workload, waits for the answers and returns the report. The
+// error says that the run could not be made; violations are in the report.
+func Run(ctx context.Context, opts Options) (report Report, err error) {
+	defer func() { err = errors.Wrap(err, "running the workload") }()
+	if err := opts.validate(); err != nil {
+		return Report{}, err
+	}
+	opts = opts.withDefaults()
+	planner, err := NewPlanner(opts.Workload, opts.Slots)
+	if err != nil {
+		return Report{}, err
+	}
+	scraper := newScraper()
+	r := &run{
+		opts:      opts,
+		recorder:  newRecorder(opts.Workload),
+		roundTrip: scraper.roundTrip(ctx, opts.EntryVMs),
+		inFlight:  make(chan struct{}, maxInFlight),
+	}
+	defer r.closeSubmitters()
+	if err := r.openSubmitters(ctx); err != nil {
+		return Report{}, err
+	}
+	meter := newMeter(ctx, scraper, opts)
+	leftOver := r.offer(ctx, planner)
+	elapsed := time.Since(r.start)
+	report = r.report(elapsed, leftOver)
+	meter.finish(ctx, &report)
+	err = r.audit(ctx, meter, &report)
+	return report, err
+}
+
+func (r *run) openSubmitters(ctx context.Context) (err error) {
+	for i, team := range r.opts.Workload.Teams {
+		s, err := jobsubmitter.New(ctx, jobsubmitter.Options{
+			Addresses:      r.opts.EntryVMs,
+			Token:          team.Token,
+			Attempts:       r.opts.Attempts,
+			RequestTimeout: r.opts.RequestTimeout,
+			KeepRefusals:   true,
+			Seed:           r.opts.Workload.Seed + uint64(i),
+		})
+		if err != nil {
+			return err
+		}
+		r.submitters = append(r.submitters, s)
+	}
+	return nil
+}
+
+func (r *run) closeSubmitters() {
+	for _, s := range r.submitters {
+		s.Close()
+	}
+}
+
+// offer sends each job at its time and returns the number of requests that had
+// no answer when the drain ended.
+func (r *run) offer(ctx context.Context, planner *Planner) (leftOver int) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	rng := rand.New(rand.NewPCG(r.opts.Workload.Seed, copyStream))
+	r.start = time.Now()
+	for {
+		job, ok := planner.Next()
+		if !ok || !r.waitUntil(ctx, job.At) {
+			break
+		}
+		r.lateness = max(r.lateness, time.Since(r.start)-job.At)
+		if cap(r.inFlight)-len(r.inFlight) < 1+len(job.Copies) {
+			r.notSent++
+			continue
+		}
+		r.send(ctx, job, rng)
+	}
+	return r.drain(cancel)
+}
+
+func (r *run) waitUntil(ctx context.Context, at time.Duration) bool {
+	timer := time.NewTimer(time.Until(r.start.Add(at)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// drain waits for the answers; requests that are still waiting at its end are
+// given up and counted.
+func (r *run) drain(cancel context.CancelFunc) (leftOver int) {
+	done := make(chan struct{})
+	go func() {
+		r.wg.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(r.opts.Drain)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		leftOver = int(r.waiting.Load())
+		cancel()
+		<-done
+	}
+	return leftOver
+}
+
+func (r *run) report(elapsed time.Duration, leftOver int) Report {
+	rec := r.recorder
+	report := Report{
+		Seed:      r.opts.Workload.Seed,
+		Load:      r.opts.Workload.Load,
+		Slots:     r.opts.Slots,
+		Elapsed:   elapsed,
+		RoundTrip: r.roundTrip,
+		Jobs:      rec.all.offered + r.notSent,
+		Tasks:     rec.tasks,
+		NotSent:   r.notSent,
+		LeftOver:  leftOver,
+		Lateness:  r.lateness,
+		Endings:   rec.endings,
+		Causes:    rec.causes,
+		All:       rec.all.figures(),
+		Teams:     rec.teamFigures(r.opts.Workload.Teams),
+	}
+	for _, second := range rec.seconds {
+		report.Seconds = append(report.Seconds, second.figures())
+	}
+	return report
+}
--- /dev/null
+++ b/internal/loader/runtimes.go
@@ -0,0 +1,109 @@
+package loader
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind names a distribution of run times.
+type Kind string
+
+// The distributions of run times.
+const (
+	KindUniform   Kind = "uniform"
+	KindPareto    Kind = "pareto"
+	KindLognormal Kind = "lognormal"
+)
+
+const longestRunTime = time.Minute
+
+// RunTimes is a distribution of run times between Min and Max, of which a share
+// is replaced by long ones.
+type RunTimes struct {
+	Kind Kind          `yaml:"kind" json:"kind"`
+	Min  time.Duration `yaml:"min" json:"min"`
+	Max  time.Duration `yaml:"max" json:"max"`
+	// Shape is the tail index of pareto, or the sigma of lognormal.
+	Shape float64 `yaml:"shape" json:"shape,omitempty"`
+	// Median is the median of lognormal.
+	Median time.Duration `yaml:"median" json:"median,omitempty"`
+	// LongShare of the tasks run for an even draw between Max and Long.
+	LongShare float64       `yaml:"longShare" json:"longShare,omitempty"`
+	Long      time.Duration `yaml:"long" json:"long,omitempty"`
+}
+
+func (r RunTimes) validate() error {
+	switch {
+	case r.Min <= 0 || r.Max < r.Min || r.Max > longestRunTime:
+		return errors.New("min and max: must be above 0, in order and at most 1m")
+	case !isShare(r.LongShare):
+		return errors.New("longShare: must be between 0 and 1")
+	case r.LongShare > 0 && (r.Long < r.Max || r.Long > longestRunTime):
+		return errors.New("long: must be between max and 1m")
+	}
+	_, err := r.sampler()
+	return err
+}
+
+// sampler is one shape of a distribution.
+type sampler interface{ isSampler() }
+
+type (
+	uniform   struct{ low, high float64 }
+	pareto    struct{ low, shape float64 }
+	lognormal struct{ median, sigma float64 }
+)
+
+func (uniform) isSampler()   {}
+func (pareto) isSampler()    {}
+func (lognormal) isSampler() {}
+
+func (r RunTimes) sampler() (s sampler, err error) {
+	switch r.Kind {
+	case KindUniform:
+		return uniform{low: r.Min.Seconds(), high: r.Max.Seconds()}, nil
+	case KindPareto:
+		if r.Shape <= 0 {
+			return nil, errors.New("shape: must be above 0 for pareto")
+		}
+		return pareto{low: r.Min.Seconds(), shape: r.Shape}, nil
+	case KindLognormal:
+		if r.Shape <= 0 || r.Median <= 0 {
+			return nil, errors.New("shape and median: must be above 0 for lognormal")
+		}
+		return lognormal{median: r.Median.Seconds(), sigma: r.Shape}, nil
+	default:
+		return nil, errors.Newf("kind: %q is not uniform, pareto or lognormal", r.Kind)
+	}
+}
+
+// draw returns one run time, in whole milliseconds.
+func (r RunTimes) draw(s sampler, rng *rand.Rand) time.Duration {
+	if r.LongShare > 0 && rng.Float64() < r.LongShare {
+		long := uniform{low: r.Max.Seconds(), high: r.Long.Seconds()}
+		return seconds(drawSeconds(long, rng))
+	}
+	drawn := seconds(drawSeconds(s, rng))
+	return min(max(drawn, r.Min), r.Max)
+}
+
+func drawSeconds(s sampler, rng *rand.Rand) float64 {
+	switch s := s.(type) {
+	case uniform:
+		return s.low + rng.Float64()*(s.high-s.low)
+	case pareto:
+		return s.low / math.Pow(1-rng.Float64(), 1/s.shape)
+	case lognormal:
+		return s.median * math.Exp(rng.NormFloat64()*s.sigma)
+	default:
+		panic("unknown sampler")
+	}
+}
+
+func seconds(value float64) time.Duration {
+	limited := min(value, longestRunTime.Seconds())
+	return time.Duration(limited * float64(time.Second)).Round(time.Millisecond)
+}
