--- a/internal/runner/vmlist.go
+++ b/internal/runner/vmlist.go
@@ -6,6 +6,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/dispatcher"
+	"github.com/peppertrack/peppertrack/internal/enroller"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/placer"
 	"github.com/peppertrack/peppertrack/internal/platformcaller"
@@ -36,6 +37,18 @@
 		return
 	}
 	r.dispatchRing.put(dispatcher.BackendsListed{Backends: backendsOf(vms)})
+	r.listings++
+	r.rosterRing.put(enroller.VMListRead{Revision: r.listings, VMs: entryVMsOf(vms)})
+}
+
+func entryVMsOf(vms []platformcaller.VM) []identifier.VMID {
+	var ids []identifier.VMID
+	for _, vm := range vms {
+		if vm.Kind == platformcaller.EntryVM {
+			ids = append(ids, identifier.VMID(vm.ID))
+		}
+	}
+	return ids
 }
 
 func backendsOf(vms []platformcaller.VM) []placer.Backend {
