feat(peppertrackd,peppertrack): run the daemon, and try a whole system

Cause: no program runs the whole path. Change: peppertrackd with settings, signals and a graceful shutdown; systemrunner runs stand-ins and entry VMs in one process; 'peppertrack try' submits a job to it and prints answer, response time over the ideal and messages by kind.

--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -27,6 +27,7 @@
 		newSubmitCmd(),
 		newJobCmd(),
 		newCancelCmd(),
+		newTryCmd(),
 		newVersionCmd(),
 	)
 	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -27,8 +27,8 @@
 	Platform    Platform // nil: a client of the settings' URL
 	// Dial connects to peers; nil: TCP. Tests use it to cut links.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Placement replaces the placement of every profile; empty: the profile's own.
-	Placement profileparser.Policy
+	// Profiles are in force until the store or a peer gives others.
+	Profiles []profileparser.Profile
 }
 
 const (
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -47,6 +47,7 @@
 	joined    atomic.Bool // a roster holds this process
 	draining  atomic.Bool
 	drained   chan struct{}
+	failed    <-chan struct{}
 	listings  enroller.Revision // readings of the list of VMs; owned by watchVMs
 }
 
@@ -71,6 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.group, ctx = errgroup.WithContext(ctx)
+	r.failed = ctx.Done()
 	if err := r.assemble(ctx); err != nil {
 		cancel()
 		r.listeners.close()
@@ -126,6 +128,7 @@
 		Dial:   r.opts.Dial,
 	})
 	r.startDuties(ctx)
+	r.adoptProfiles(r.opts.Profiles)
 	r.serve()
 	return nil
 }
@@ -183,6 +186,9 @@
 // Self returns the name of this process.
 func (r *Runner) Self() identifier.Member { return r.self }
 
+// Failed is closed when a duty has failed, or the runner was closed.
+func (r *Runner) Failed() <-chan struct{} { return r.failed }
+
 // Shutdown ends the runner once its jobs have ended and its records are on
 // peers, or when the context ends, whichever is first.
 func (r *Runner) Shutdown(ctx context.Context) (err error) {
