feat(peppertrack): check and show settings; secure the links with TLS

Cause: settings could only be checked by starting the daemon, and links were plain. Change: 'config check' and 'config show'; the runner secures links when the settings name certificates.

--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -27,6 +27,7 @@
 		newSubmitCmd(),
 		newJobCmd(),
 		newCancelCmd(),
+		newConfigCmd(),
 		newTryCmd(),
 		newVersionCmd(),
 	)
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -40,4 +40,5 @@
 	usageInterval        = time.Second
 	shutdownHTTPTimeout  = 2 * time.Second
 	busyRetryAfter       = 250 * time.Millisecond
+	certificateInterval  = 10 * time.Second
 )
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/authenticator"
 	"github.com/peppertrack/peppertrack/internal/backendcaller"
+	"github.com/peppertrack/peppertrack/internal/certificateloader"
 	"github.com/peppertrack/peppertrack/internal/dispatcher"
 	"github.com/peppertrack/peppertrack/internal/enroller"
 	"github.com/peppertrack/peppertrack/internal/identifier"
@@ -36,6 +37,7 @@
 	linker       *peerlinker.Linker
 	links        *linkTable
 	auth         *authenticator.Authenticator
+	certificates *certificateloader.Loader // nil: plain links
 	counters     dispatcher.Counters
 
 	listeners listeners
@@ -120,12 +122,16 @@
 		return err
 	}
 	r.links = newLinkTable()
+	if err := r.openCertificates(); err != nil {
+		return err
+	}
 	r.linker = peerlinker.New(peerlinker.Options{
 		Self:   peerlinker.Peer{Member: r.self, Domain: r.opts.Settings.FailureDomain, Address: r.listeners.peers.Addr().String()},
 		Seeds:  r.opts.Settings.Peers,
 		Handle: r.linkEvent,
 		Logger: r.opts.Logger,
 		Dial:   r.opts.Dial,
+		TLS:    r.clientTLS(),
 	})
 	r.startDuties(ctx)
 	r.adoptProfiles(r.opts.Profiles)
@@ -212,6 +218,9 @@
 	r.cancel()
 	err := r.linker.Close()
 	r.backends.Close()
+	if r.certificates != nil {
+		r.certificates.Close()
+	}
 	r.close()
 	return errors.CombineErrors(r.group.Wait(), err)
 }
