--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -27,8 +27,6 @@
 		newSubmitCmd(),
 		newJobCmd(),
 		newCancelCmd(),
-		newConfigCmd(),
-		newTryCmd(),
 		newVersionCmd(),
 	)
 	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
--- a/internal/declarer/answer.go
+++ b/internal/declarer/answer.go
@@ -77,6 +77,7 @@
 	DeadlineTooShort  RefusalCause = "deadlineTooShort"
 	NoCapacity        RefusalCause = "noCapacity"
 	ShuttingDown      RefusalCause = "shuttingDown"
+	CancelledInQueue  RefusalCause = "cancelledInQueue"
 	SubmissionExpired RefusalCause = "submissionExpired"
 )
 
--- a/internal/dispatcher/drain.go
+++ b/internal/dispatcher/drain.go
@@ -1,10 +1,6 @@
 package dispatcher
 
-import (
-	"time"
-
-	"github.com/peppertrack/peppertrack/internal/claimer"
-)
+import "time"
 
 // drain begins a graceful shutdown: running jobs finish, no new one starts.
 func (m *Machine) drain(now time.Time) {
@@ -12,13 +8,13 @@
 		return
 	}
 	m.draining = true
-	m.claimerStep(now, claimer.DrainAsked{})
+	m.claimsDrain(now)
 	m.checkDrained()
 }
 
 // checkDrained reports, once, that the process may end.
 func (m *Machine) checkDrained() {
-	if !m.draining || m.drained || len(m.jobs) > 0 || len(m.forwards) > 0 || !m.handedOver {
+	if !m.draining || m.drained || len(m.jobs) > 0 || len(m.forwards) > 0 || !m.claims.handedOver() {
 		return
 	}
 	m.drained = true
--- a/internal/dispatcher/peers.go
+++ b/internal/dispatcher/peers.go
@@ -5,7 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/peppertrack/peppertrack/internal/claimer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/limiter"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
@@ -23,7 +22,7 @@
 	}
 	delete(m.peers, e.Member)
 	m.forwardsLost(now, e.Member)
-	m.claimerStep(now, claimer.PeerLost{Member: e.Member})
+	m.claimsPeerLost(now, e.Member)
 	m.placerStep(now, placer.PeerLost{Member: e.Member})
 	m.limiterStep(now, limiter.PeerLost{Member: e.Member})
 	m.membersChanged(now)
@@ -79,7 +78,7 @@
 	case peermessenger.JobReply:
 		m.forwardAnswered(message)
 	default:
-		m.claimerStep(now, claimer.PeerReceived{From: e.From, Message: e.Message})
+		m.claimsReceived(now, e)
 		m.placerStep(now, placer.PeerReceived{From: e.From, Message: e.Message})
 		m.limiterStep(now, limiter.PeerReceived{From: e.From, Message: e.Message})
 	}
--- a/internal/loader/messages.go
+++ b/internal/loader/messages.go
@@ -3,16 +3,18 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 )
 
-// Messages counts what the daemons that answer at the end of a run have sent and
-// got, by kind. A request and its answer count as one message each.
+// Messages counts what was sent on behalf of the workload, by kind. A request
+// and its answer count as one exchange.
 type Messages struct {
-	// Needed messages to and from backend servers contributed to an answer.
+	// Needed exchanges contributed to an answer.
 	Needed int64 `json:"needed"`
-	// Wasted messages to and from backend servers contributed to none.
+	// Wasted exchanges contributed to none.
 	Wasted int64 `json:"wasted"`
-	// Control messages went between entry VMs, claims included.
+	// Control messages keep the entry VMs in step, whatever the jobs.
 	Control int64 `json:"control"`
 	// Kinds holds the count of each kind.
 	Kinds map[string]int64 `json:"kinds"`
@@ -45,10 +47,9 @@
 	}
 }
 
-// WastedShare returns the wasted messages as a share of those to and from
-// backend servers.
+// WastedShare returns the wasted messages as a share of all.
 func (m Messages) WastedShare() float64 {
-	all := m.Needed + m.Wasted
+	all := m.Needed + m.Wasted + m.Control
 	if all == 0 {
 		return 0
 	}
@@ -62,7 +63,9 @@
 		}
 		return float64(n) / float64(tasks)
 	}
-	fmt.Fprintf(w, "messages a task\tneeded %.3f  wasted %.4f  control %.3f  (wasted %.3f%%)\n",
+	fmt.Fprintf(w, "messages a task\tneeded %.3f  wasted %.4f  control %.3f  (wasted %.3f%% of all)\n",
 		perTask(m.Needed), perTask(m.Wasted), perTask(m.Control), m.WastedShare()*100)
-	writeCounts(w, "  ", m.Kinds)
+	for _, kind := range slices.Sorted(maps.Keys(m.Kinds)) {
+		fmt.Fprintf(w, "  %s\t%d\n", kind, m.Kinds[kind])
+	}
 }
--- a/internal/loader/run.go
+++ b/internal/loader/run.go
@@ -55,9 +55,6 @@
 	meter := newMeter(ctx, scraper, opts)
 	leftOver := r.offer(ctx, planner)
 	elapsed := time.Since(r.start)
-	if r.recorder.all.offered == 0 && r.notSent == 0 {
-		return Report{}, errors.New("the workload offers no job in its duration")
-	}
 	report = r.report(elapsed, leftOver)
 	meter.finish(ctx, &report)
 	err = r.audit(ctx, meter, &report)
@@ -68,7 +65,7 @@
 	for i, team := range r.opts.Workload.Teams {
 		s, err := jobsubmitter.New(ctx, jobsubmitter.Options{
 			Addresses:      r.opts.EntryVMs,
-			Token:          team.bearer(),
+			Token:          team.Token,
 			Attempts:       r.opts.Attempts,
 			RequestTimeout: r.opts.RequestTimeout,
 			KeepRefusals:   true,
@@ -157,7 +154,6 @@
 		Endings:   rec.endings,
 		Causes:    rec.causes,
 		All:       rec.all.figures(),
-		Curve:     rec.all.curve(),
 		Teams:     rec.teamFigures(r.opts.Workload.Teams),
 	}
 	for _, second := range rec.seconds {
--- a/internal/profilekeeper/event.go
+++ b/internal/profilekeeper/event.go
@@ -12,7 +12,7 @@
 // PeerReceived, PeersChanged or Tick.
 type Event interface{ isEvent() }
 
-// BookRead reports the answer of the store to WatchBook.
+// BookRead reports the answer of the store to ReadBook or WatchBook.
 type BookRead struct {
 	Book     Book
 	Revision Revision
@@ -22,7 +22,7 @@
 // while it wrote.
 type BookWritten struct{ Book Book }
 
-// StoreFailed reports that WatchBook had no answer, or one that is no book.
+// StoreFailed reports that ReadBook or WatchBook had no answer, or one that is no book.
 type StoreFailed struct{}
 
 // PeerReceived reports a message from a peer.
--- a/internal/profilekeeper/store.go
+++ b/internal/profilekeeper/store.go
@@ -10,7 +10,11 @@
 	}
 	w.calling = true
 	k.counters.StoreCalls++
-	k.do(WatchBook{After: w.revision})
+	if w.healthy {
+		k.do(WatchBook{After: w.revision})
+	} else {
+		k.do(ReadBook{})
+	}
 }
 
 func (k *Keeper) onBookRead(now time.Time, e BookRead) {
--- a/internal/settingsloader/defaults.go
+++ b/internal/settingsloader/defaults.go
@@ -17,6 +17,7 @@
 		},
 		Callers: Callers{
 			RequireTokens: true,
+			OpenTeam:      "default",
 			MaxBodyBytes:  8 << 20,
 			MaxTasks:      1900,
 			MaxRequests:   20_000,
