test(platformcaller,backendcaller): bring about each fault of the stand-ins

Cause: the clients and stand-ins had landed with two tests, so that what they claim under faults was not shown.

It found one fault of the stand-in: a dying server could still answer that its task had died; it now closes its connections first. The stand-in encodes a result once, not three times.

--- a/internal/backendcaller/caller_test.go
+++ b/internal/backendcaller/caller_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,22 +118,32 @@
 	}
 }
 
+// BenchmarkStart reports the processor time of client and server together.
 func BenchmarkStart(b *testing.B) {
 	fleet := newFleet(b, backendserver.Options{Count: 4, Slots: 1 << 20})
 	c := newCaller(b, backendcaller.Options{Caller: "vm-1"})
 	vms := fleet.VMs()
-	var mu sync.Mutex
-	next := 0
+	var next atomic.Int64
+	before := processorTime(b)
+	b.SetParallelism(16)
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			mu.Lock()
-			next++
-			i := next
-			mu.Unlock()
+			i := int(next.Add(1))
 			s := startOf(i, `{"sleepMillis":0,"output":"0123456789"}`)
 			if _, ok := c.Start(b.Context(), vms[i%4].Address, s).(backendcaller.Succeeded); !ok {
 				b.Error("a start did not succeed")
 			}
 		}
 	})
+	used := processorTime(b) - before
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "processor-us/op")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
--- a/internal/backendcaller/commands.go
+++ b/internal/backendcaller/commands.go
@@ -84,10 +84,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := newRequest(ctx, address, method, path, data)
-	if err != nil {
-		return err
-	}
+	r := newRequest(ctx, address, method, path, data)
 	if err = exchange(conn, r, response); err != nil {
 		c.tally.waste(kind, 1)
 		return err
--- a/internal/backendcaller/exchange.go
+++ b/internal/backendcaller/exchange.go
@@ -36,7 +36,7 @@
 var jsonHeader = []string{"application/json"}
 
 // newRequest returns a request with a JSON body, or without one if data is nil.
-func newRequest(ctx context.Context, address, method, path string, data []byte) (*http.Request, error) {
+func newRequest(ctx context.Context, address, method, path string, data []byte) *http.Request {
 	r := &http.Request{
 		Method: method,
 		URL:    &url.URL{Scheme: "http", Host: address, Path: path},
@@ -50,7 +50,7 @@
 		r.ContentLength = int64(len(data))
 		r.Header["Content-Type"] = jsonHeader
 	}
-	return r.WithContext(ctx), nil
+	return r.WithContext(ctx)
 }
 
 // statusError says that a server answered with a status other than 200.
--- a/internal/backendcaller/peer.go
+++ b/internal/backendcaller/peer.go
@@ -137,10 +137,7 @@
 }
 
 func (c *Caller) hello(ctx context.Context, conn *http.ClientConn, address string) error {
-	r, err := newRequest(ctx, address, http.MethodGet, "/v1/hello", nil)
-	if err != nil {
-		return err
-	}
+	r := newRequest(ctx, address, http.MethodGet, "/v1/hello", nil)
 	r.Header.Set("Backend-Caller", string(c.opts.Caller))
 	r.Header.Set("Backend-Caller-Failure-Domain", string(c.opts.FailureDomain))
 	return exchange(conn, r, &struct{}{})
--- a/internal/backendcaller/start.go
+++ b/internal/backendcaller/start.go
@@ -24,10 +24,7 @@
 	leaseEnd := time.Now().Add(s.Lease)
 	startCtx, cancel := context.WithDeadline(ctx, leaseEnd.Add(c.opts.AnswerGrace))
 	defer cancel()
-	r, err := newRequest(startCtx, address, http.MethodPost, "/v1/tasks/start", data)
-	if err != nil {
-		return NotStarted{Reason: BadRequest, Detail: err.Error()}
-	}
+	r := newRequest(startCtx, address, http.MethodPost, "/v1/tasks/start", data)
 	var resp endingResponse
 	err = exchange(conn, r, &resp)
 	result, settled := c.judge(r, resp, err)
@@ -83,7 +80,7 @@
 func (c *Caller) settle(ctx context.Context, address string, s StartRequest, leaseEnd time.Time, cause error) StartResult {
 	bound := time.Now().Add(c.opts.SettleTimeout)
 	detail := cause.Error()
-	for ctx.Err() == nil && time.Now().Before(bound) {
+	for ctx.Err() == nil && c.ctx.Err() == nil && time.Now().Before(bound) {
 		wait := min(time.Until(bound), c.opts.RequestTimeout) / 2
 		report, err := c.query(ctx, address, s.Task, wait)
 		switch {
--- /dev/null
+++ b/internal/platformcaller/clock_test.go
@@ -0,0 +1,108 @@
+package platformcaller_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+)
+
+func TestLeaseLapsesUnlessKeptAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platformcaller.NewMemory(platformcaller.MemoryOptions{})
+		defer m.Close()
+		lease, err := m.Grant(t.Context(), 10*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(9 * time.Second)
+		if err := m.KeepAlive(t.Context(), lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(9 * time.Second)
+		if err := m.KeepAlive(t.Context(), lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(11 * time.Second)
+		expectError[*platformcaller.LeaseLapsedError](t, m.KeepAlive(t.Context(), lease))
+	})
+}
+
+func TestWatchWaitsForItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platformcaller.NewMemory(platformcaller.MemoryOptions{WatchBound: time.Minute})
+		defer m.Close()
+		before := time.Now()
+		if _, err := m.Watch(t.Context(), "k", 0); err != nil {
+			t.Fatal(err)
+		}
+		if got := time.Since(before); got != time.Minute {
+			t.Errorf("waited %v, want a minute", got)
+		}
+	})
+}
+
+func TestSlowSwapTakesEffectHalfWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := platformcaller.NewMemory(platformcaller.MemoryOptions{})
+		defer m.Close()
+		m.SetFaults(platformcaller.Faults{Delay: 10 * time.Second})
+		done := make(chan error, 1)
+		go func() {
+			_, err := m.Swap(t.Context(), "k", 0, []byte("one"))
+			done <- err
+		}()
+		time.Sleep(6 * time.Second)
+		m.SetFaults(platformcaller.Faults{})
+		if v, err := m.Get(t.Context(), "k"); err != nil || v.Revision == 0 {
+			t.Errorf("got %v, %v after half the delay", v, err)
+		}
+		select {
+		case err := <-done:
+			t.Errorf("answered early: %v", err)
+		default:
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestListLagsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lag = 5 * time.Second
+		m := platformcaller.NewMemory(platformcaller.MemoryOptions{ListLag: lag})
+		defer m.Close()
+		vm := platformcaller.VM{ID: "b", Kind: platformcaller.BackendServer, FailureDomain: "a", Address: "127.0.0.1:1", State: platformcaller.Live}
+		expectStates := func(want ...platformcaller.VMState) {
+			t.Helper()
+			vms, err := m.VMs(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(vms) != len(want) || len(vms) > 0 && vms[0].State != want[0] {
+				t.Errorf("got %v, want states %v", vms, want)
+			}
+		}
+		register := func(state platformcaller.VMState) {
+			t.Helper()
+			vm.State = state
+			if err := m.Register(t.Context(), []platformcaller.VM{vm}, 20*time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		register(platformcaller.Live)
+		expectStates()
+		time.Sleep(lag)
+		expectStates(platformcaller.Live)
+		register(platformcaller.Leaving)
+		expectStates(platformcaller.Live)
+		time.Sleep(lag)
+		expectStates(platformcaller.Leaving)
+		time.Sleep(16 * time.Second) // the registration lapsed a second ago
+		expectStates(platformcaller.Leaving)
+		time.Sleep(lag)
+		expectStates()
+	})
+}
--- a/internal/platformcaller/store.go
+++ b/internal/platformcaller/store.go
@@ -23,7 +23,7 @@
 type Revision uint64
 
 // Value is the data of a key at a revision. The zero value is that of an absent
-// key.
+// key. Data must not be changed.
 type Value struct {
 	Data     []byte
 	Revision Revision
--- a/internal/standin/backendserver/auditor.go
+++ b/internal/standin/backendserver/auditor.go
@@ -60,7 +60,7 @@
 
 // start records a start and returns its sequence number.
 func (a *auditor) start(r AuditRecord) uint64 {
-	key := xxhash.Sum64String(identifier.TaskRef{Submission: r.Submission, Index: r.Index}.String())
+	key := xxhash.Sum64(appendRef(nil, identifier.TaskRef{Submission: r.Submission, Index: r.Index}))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.summary.Starts++
--- a/internal/standin/backendserver/checksum.go
+++ b/internal/standin/backendserver/checksum.go
@@ -3,7 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,13 +15,29 @@
 // task's reference and on its payload, but for the payload's white space, so
 // that an output can be told from that of any other task.
 func Checksum(task identifier.TaskRef, payload []byte) string {
-	var compact bytes.Buffer
-	if err := json.Compact(&compact, payload); err != nil {
+	compact := bytes.NewBuffer(make([]byte, 0, len(payload)))
+	if err := json.Compact(compact, payload); err != nil {
 		compact.Reset()
 		compact.Write(payload)
 	}
+	return checksumCompact(task, compact.Bytes())
+}
+
+// checksumCompact returns the checksum for a payload without white space.
+func checksumCompact(task identifier.TaskRef, payload []byte) string {
 	h := xxhash.New()
-	fmt.Fprintf(h, "%s\n", task)
-	_, _ = h.Write(compact.Bytes()) // a hash returns no error
-	return fmt.Sprintf("%016x", h.Sum64())
+	_, _ = h.Write(appendRef(nil, task)) // a hash returns no error
+	_, _ = h.Write(payload)
+	sum := strconv.FormatUint(h.Sum64(), 16)
+	return strings.Repeat("0", checksumDigits-len(sum)) + sum
+}
+
+const checksumDigits = 16
+
+// appendRef appends a task's reference and a separator.
+func appendRef(b []byte, task identifier.TaskRef) []byte {
+	b = append(b, task.Submission...)
+	b = append(b, '/')
+	b = strconv.AppendUint(b, uint64(task.Index), 10)
+	return append(b, '\n')
 }
--- a/internal/standin/backendserver/commands.go
+++ b/internal/standin/backendserver/commands.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
@@ -117,9 +118,26 @@
 		return
 	}
 	<-t.done // the lease bounds it
+	if t.ending == Succeeded {
+		respondSucceeded(w, t)
+		return
+	}
 	respond(w, http.StatusOK, newEndingResponse(t))
 }
 
+// respondSucceeded answers as respond does. It spares the encoder, which would
+// scan the output once more.
+func respondSucceeded(w http.ResponseWriter, t *task) {
+	body := append(make([]byte, 0, len(t.output)+len(succeededHead)+32), succeededHead...)
+	body = strconv.AppendInt(body, t.runTime.Microseconds(), 10)
+	body = append(body, `,"output":`...)
+	body = append(body, t.output...)
+	body = append(body, '}')
+	writeJSON(w, http.StatusOK, body)
+}
+
+const succeededHead = `{"ending":"succeeded","runMicros":`
+
 func refusalStatus(refusal string) int {
 	switch refusal {
 	case refusedTooLarge:
--- a/internal/standin/backendserver/handler.go
+++ b/internal/standin/backendserver/handler.go
@@ -50,10 +50,12 @@
 	c.await()
 }
 
+var jsonHeader = []string{"application/json"}
+
 // decodeRequest decodes the JSON body of a request into v, or answers that it
 // can't and returns false.
 func decodeRequest(w http.ResponseWriter, r *http.Request, v any) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestSize))
+	body, err := readBody(w, r)
 	if err == nil {
 		err = json.Unmarshal(body, v)
 	}
@@ -64,6 +66,15 @@
 	return true
 }
 
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if n := r.ContentLength; n >= 0 && n <= maxRequestSize {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r.Body, body)
+		return body, err
+	}
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestSize))
+}
+
 func refuseRequest(w http.ResponseWriter, detail string) {
 	respond(w, http.StatusBadRequest, refusalResponse{Refused: "badRequest", Detail: detail})
 }
@@ -73,7 +84,11 @@
 	if err != nil {
 		status = http.StatusInternalServerError
 	}
-	w.Header().Set("Content-Type", "application/json")
+	writeJSON(w, status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body []byte) {
+	w.Header()["Content-Type"] = jsonHeader
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // the caller may be gone
 }
--- a/internal/standin/backendserver/runner.go
+++ b/internal/standin/backendserver/runner.go
@@ -132,7 +132,7 @@
 	t.detail = detail
 	t.runTime = now.Sub(t.startedAt)
 	if ending == Succeeded {
-		t.output, _ = json.Marshal(output{Checksum: Checksum(t.ref, t.raw), Output: t.payload.Output})
+		t.output = t.encodeOutput()
 	}
 	t.raw = nil
 	s.running--
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -167,15 +167,20 @@
 	}
 }
 
-// kill ends all tasks with the server and closes its listener and connections.
+// kill closes the server's listener and connections, so that nothing more is
+// answered, and ends all tasks.
 func (s *server) kill() {
 	s.mu.Lock()
 	hs := s.http
+	s.http = nil // refuses starts from here on
+	s.mu.Unlock()
 	if hs == nil {
-		s.mu.Unlock()
 		return
 	}
-	s.http = nil
+	_ = hs.Close() // the listener's own error is of no use here
+	s.serving.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
 	for _, t := range s.table.tasks {
 		if t.running() {
@@ -183,7 +188,4 @@
 		}
 	}
 	s.table = newTaskTable()
-	s.mu.Unlock()
-	_ = hs.Close() // the listener's own error is of no use here
-	s.serving.Wait()
 }
--- a/internal/standin/backendserver/task.go
+++ b/internal/standin/backendserver/task.go
@@ -39,10 +39,17 @@
 	return min(time.Duration(p.SleepMillis*float64(time.Millisecond)), maxSleep)
 }
 
-// output is a task's output.
-type output struct {
-	Checksum string          `json:"checksum"`
-	Output   json.RawMessage `json:"output,omitempty"`
+// encodeOutput returns the output of a task that succeeded: an object with the
+// checksum and what the payload asks for.
+func (t *task) encodeOutput() []byte {
+	b := append(make([]byte, 0, len(t.payload.Output)+64), `{"checksum":"`...)
+	b = append(b, Checksum(t.ref, t.raw)...)
+	b = append(b, '"')
+	if len(t.payload.Output) > 0 {
+		b = append(b, `,"output":`...)
+		b = append(b, t.payload.Output...)
+	}
+	return append(b, '}')
 }
 
 // task is a task that runs or has ended. Its server's mu guards it.
--- a/internal/standin/platformserver/faults.go
+++ b/internal/standin/platformserver/faults.go
@@ -8,6 +8,9 @@
 	"github.com/peppertrack/peppertrack/internal/platformcaller"
 )
 
+// maxFaultTime bounds the delay and the lag that can be set.
+const maxFaultTime = time.Hour
+
 // faultsBody is the body of both a request that sets faults and of the answers.
 // A field that a request leaves out keeps its setting.
 type faultsBody struct {
@@ -48,14 +51,14 @@
 // check returns the name of the first wrong field and what is wrong, or "".
 func (b faultsBody) check() string {
 	switch {
-	case b.DelayMillis < 0:
-		return "delayMillis: negative"
+	case b.DelayMillis < 0 || b.DelayMillis > maxFaultTime.Milliseconds():
+		return "delayMillis: not from 0 to 3600000"
 	case b.LoseAnswers < 0:
 		return "loseAnswers: negative"
 	case b.LoseAnswerProbability < 0 || b.LoseAnswerProbability > 1:
 		return "loseAnswerProbability: not from 0 to 1"
-	case b.ListLagMillis < 0:
-		return "listLagMillis: negative"
+	case b.ListLagMillis < 0 || b.ListLagMillis > maxFaultTime.Milliseconds():
+		return "listLagMillis: not from 0 to 3600000"
 	default:
 		return ""
 	}
