--- a/cmd/pepperstand/internal/cmd/listener.go
+++ b/cmd/pepperstand/internal/cmd/listener.go
@@ -9,9 +9,16 @@
 
 // listen listens on the address that a flag gives, an IP number and a port.
 func listen(flag, address string) (net.Listener, error) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		return nil, errors.Newf("%s: %q is not an IP number and a port", flag, address)
+	if err := checkAddress(address); err != nil {
+		return nil, errors.Wrap(err, flag)
 	}
 	l, err := net.Listen("tcp", address)
 	return l, errors.Wrap(err, flag)
 }
+
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return errors.Newf("%q is not an IP number and a port", address)
+	}
+	return nil
+}
--- a/cmd/pepperstand/internal/cmd/rootcmd.go
+++ b/cmd/pepperstand/internal/cmd/rootcmd.go
@@ -30,12 +30,13 @@
 func newRootCmd() *cobra.Command {
 	c := &cobra.Command{
 		Use:           "pepperstand",
-		Short:         "Stand-ins for the platform and its backend servers",
+		Short:         "Stand-ins for the platform and its backend servers, and the load tool",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
 	c.AddCommand(
 		newBackendCmd(),
+		newLoadCmd(),
 		newPlatformCmd(),
 	)
 	return c
--- /dev/null
+++ b/cmd/pepperstand/internal/cmd/script_test.go
@@ -0,0 +1,20 @@
+package cmd
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain lets scripts run the program as the command pepperstand.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"pepperstand": func() { os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs each script in testdata/scripts.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/scripts"})
+}
--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -27,6 +27,8 @@
 		newSubmitCmd(),
 		newJobCmd(),
 		newCancelCmd(),
+		newConfigCmd(),
+		newTryCmd(),
 		newVersionCmd(),
 	)
 	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
--- a/internal/callerserver/options.go
+++ b/internal/callerserver/options.go
@@ -12,7 +12,7 @@
 // Options configure a Server.
 type Options struct {
 	Dispatcher   Dispatcher
-	Authenticate func(r *http.Request) (identifier.Team, error) // errors carry the status code through StatusCoder
+	Authenticate func(r *http.Request) (identifier.Team, error) // fails with the errors of package authenticator
 	Domain       identifier.FailureDomain
 	MaxBodyBytes int64
 	MaxTasks     int
@@ -22,7 +22,3 @@
 	Metrics      http.Handler // serves /debug/vars
 	Logger       log.Logger
 }
-
-// StatusCoder is implemented by errors of authentication that name their HTTP
-// status code, 401 or 403.
-type StatusCoder interface{ StatusCode() int }
--- a/internal/callerserver/reply.go
+++ b/internal/callerserver/reply.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/peppertrack/peppertrack/internal/authenticator"
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 )
@@ -71,15 +72,19 @@
 func writeError(w http.ResponseWriter, err error) {
 	var field *FieldError
 	var busy *BusyError
-	var coder StatusCoder
+	var unauthenticated *authenticator.UnauthenticatedError
+	var forbidden *authenticator.ForbiddenError
 	switch {
 	case errors.As(err, &field):
 		writeReply(w, http.StatusBadRequest, reply{Ending: "refused", Cause: string(declarer.BadRequest), Field: field.Field, Detail: field.Problem})
 	case errors.As(err, &busy):
 		setRetryAfter(w, busy.RetryAfter)
 		writeReply(w, http.StatusServiceUnavailable, reply{Ending: "refused", Cause: string(declarer.QueueFull), Detail: busy.Error(), RetryAfterMillis: busy.RetryAfter.Milliseconds()})
-	case errors.As(err, &coder):
-		writeUnauthorized(w, coder.StatusCode(), err)
+	case errors.As(err, &unauthenticated):
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		writeReply(w, http.StatusUnauthorized, reply{Ending: "refused", Cause: "unauthenticated", Detail: unauthenticated.Detail})
+	case errors.As(err, &forbidden):
+		writeReply(w, http.StatusForbidden, reply{Ending: "refused", Cause: "forbidden", Detail: forbidden.Detail})
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		writeReply(w, http.StatusConflict, reply{Ending: "unverifiable", Cause: string(declarer.HomeUnreachable), Detail: "the request ended before its answer came"})
 	default:
@@ -87,15 +92,6 @@
 	}
 }
 
-func writeUnauthorized(w http.ResponseWriter, code int, err error) {
-	cause := "forbidden"
-	if code == http.StatusUnauthorized {
-		cause = "unauthenticated"
-		w.Header().Set("WWW-Authenticate", "Bearer")
-	}
-	writeReply(w, code, reply{Ending: "refused", Cause: cause, Detail: err.Error()})
-}
-
 func setRetryAfter(w http.ResponseWriter, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/declarer/answer.go
+++ b/internal/declarer/answer.go
@@ -77,7 +77,6 @@
 	DeadlineTooShort  RefusalCause = "deadlineTooShort"
 	NoCapacity        RefusalCause = "noCapacity"
 	ShuttingDown      RefusalCause = "shuttingDown"
-	CancelledInQueue  RefusalCause = "cancelledInQueue"
 	SubmissionExpired RefusalCause = "submissionExpired"
 )
 
--- a/internal/dispatcher/cancel.go
+++ b/internal/dispatcher/cancel.go
@@ -24,7 +24,12 @@
 
 // cancel ends a running job at its home.
 func (m *Machine) cancel(now time.Time, r requester, c cancelRequest) {
-	home, denial := m.home(c.submission, time.Time{})
+	if j, ok := m.jobs[c.submission]; ok && j.job.Team == c.team {
+		m.addWaiter(r, j, time.Time{}, true)
+		m.cancelJob(now, j)
+		return
+	}
+	home, denial := m.home(c.submission, now)
 	if denial != nil {
 		m.replyEnding(r, denial)
 		return
@@ -33,33 +38,19 @@
 		m.forwardTo(now, r, home, c.hops, peermessenger.CancelJob{Submission: c.submission, Team: c.team, Hops: c.hops + 1})
 		return
 	}
-	j, ok := m.jobs[c.submission]
-	if !ok || j.job.Team != c.team {
-		m.replyKnown(r, c.team, c.submission)
-		return
-	}
-	m.addWaiter(r, j, time.Time{}, true)
-	if !j.admitted {
-		j.cancelled = true // ended once the claim is settled
-		return
-	}
-	m.cancelJob(now, j)
+	m.askRunner(now, r, c.team, c.submission, c.hops, peermessenger.CancelJob{Submission: c.submission, Team: c.team, Hops: c.hops + 1})
 }
 
+// cancelJob ends a job. A cancelled job stays ended: it is a failure, also when
+// no task had started, so that a late resubmission does not run it.
 func (m *Machine) cancelJob(now time.Time, j *runningJob) {
-	if j.started() {
-		m.fail(now, j, declarer.Cancelled, "the job was cancelled while it ran")
+	if !j.claimed {
+		j.cancelled = true // settled with its claim
 		return
 	}
-	m.end(now, j, declarer.Refused{Cause: declarer.CancelledInQueue, Detail: "the job was cancelled before any task started"})
-}
-
-// replyKnown answers with what is known of a submission that does not run here.
-func (m *Machine) replyKnown(r requester, team identifier.Team, id identifier.SubmissionID) {
-	kept, ok := m.claims.kept(id)
-	if !ok || kept.team != team {
-		m.reply(r, declarer.Status{})
-		return
+	detail := "the job was cancelled before any task started"
+	if j.started() {
+		detail = "the job was cancelled while it ran"
 	}
-	m.replyEnding(r, kept.ending)
+	m.fail(now, j, declarer.Cancelled, detail)
 }
--- a/internal/dispatcher/check.go
+++ b/internal/dispatcher/check.go
@@ -2,32 +2,48 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/placer"
 	"github.com/peppertrack/peppertrack/internal/profileparser"
 )
 
-// check returns why a job of which nothing is known can't be served, or nil.
-func (m *Machine) check(job declarer.Job, profile profileparser.Profile) *declarer.Refused {
+// check finds the profile of a job whose claim was granted. It returns why the
+// job can't be served, or nil.
+func (m *Machine) check(now time.Time, j *runningJob) *declarer.Refused {
+	profile, ok := m.profiles[j.job.Profile]
+	if !ok {
+		return &declarer.Refused{Cause: declarer.UnknownProfile, Detail: fmt.Sprintf("no profile has the name %q", j.job.Profile)}
+	}
+	j.setProfile(profile)
+	if refused := m.checkProfile(j.job, profile); refused != nil {
+		return refused
+	}
+	if now.After(j.deadline) {
+		return &declarer.Refused{Cause: declarer.DeadlineTooShort, Detail: "the deadline passed before the submission was claimed"}
+	}
+	return m.checkFit(j.job)
+}
+
+func (m *Machine) checkProfile(job declarer.Job, profile profileparser.Profile) *declarer.Refused {
 	switch {
 	case profile.Retired:
-		return &declarer.Refused{Cause: declarer.RetiredProfile, Detail: fmt.Sprintf("profile %s is retired", profile.Name)}
+		return &declarer.Refused{Cause: declarer.RetiredProfile, Detail: fmt.Sprintf("profile %q is retired", profile.Name)}
 	case len(job.Tasks) > profile.MaxTasks:
 		return &declarer.Refused{
 			Cause:  declarer.TooLarge,
-			Detail: fmt.Sprintf("the job has %d tasks; profile %s allows %d", len(job.Tasks), profile.Name, profile.MaxTasks),
+			Detail: fmt.Sprintf("the job has %d tasks; profile %q allows %d", len(job.Tasks), profile.Name, profile.MaxTasks),
 		}
-	case m.draining:
-		return &declarer.Refused{Cause: declarer.ShuttingDown, Detail: "this entry VM shuts down", RetryAfter: shutdownRetryAfter}
 	case !m.storeReachable && profile.WhileStoreDown == profileparser.Refuse:
 		return &declarer.Refused{
 			Cause:      declarer.NoCapacity,
-			Detail:     fmt.Sprintf("profile %s refuses new jobs while the platform's store is out of reach", profile.Name),
+			Detail:     fmt.Sprintf("profile %q refuses new jobs while the platform's store is out of reach", profile.Name),
 			RetryAfter: unreachableRetryAfter,
 		}
+	default:
+		return nil
 	}
-	return m.checkFit(job)
 }
 
 // checkFit refuses a job with a task that no backend server can hold.
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -22,3 +22,26 @@
 	QueuedTasks      atomic.Int64
 	RunningTasks     atomic.Int64
 }
+
+// Snapshot returns the counters by name.
+func (c *Counters) Snapshot() map[string]int64 {
+	return map[string]int64{
+		"jobsSubmitted":    c.JobsSubmitted.Load(),
+		"jobsJoined":       c.JobsJoined.Load(),
+		"jobsForwarded":    c.JobsForwarded.Load(),
+		"jobsComplete":     c.JobsComplete.Load(),
+		"jobsFailed":       c.JobsFailed.Load(),
+		"jobsRefused":      c.JobsRefused.Load(),
+		"jobsUnverifiable": c.JobsUnverifiable.Load(),
+		"tasksStarted":     c.TasksStarted.Load(),
+		"tasksSucceeded":   c.TasksSucceeded.Load(),
+		"tasksFailed":      c.TasksFailed.Load(),
+		"tasksLost":        c.TasksLost.Load(),
+		"startsRefused":    c.StartsRefused.Load(),
+		"lateResults":      c.LateResults.Load(),
+		"stopRequests":     c.StopRequests.Load(),
+		"runningJobs":      c.RunningJobs.Load(),
+		"queuedTasks":      c.QueuedTasks.Load(),
+		"runningTasks":     c.RunningTasks.Load(),
+	}
+}
--- a/internal/dispatcher/digest.go
+++ b/internal/dispatcher/digest.go
@@ -1,17 +1,18 @@
 package dispatcher
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
+	"hash"
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
 )
 
 // digest returns a hash of what a submission asks for. Attempts at the same
 // submission have the same digest.
-func digest(job declarer.Job) uint64 {
-	h := xxhash.New()
+func digest(job declarer.Job) identifier.Digest {
+	h := sha256.New()
 	writeString(h, string(job.Team))
 	writeString(h, string(job.Profile))
 	writeNumber(h, boolNumber(job.Unrepeatable))
@@ -22,15 +23,17 @@
 		writeNumber(h, uint64(t.Memory))
 		writeNumber(h, uint64(t.Requires))
 	}
-	return h.Sum64()
+	var d identifier.Digest
+	copy(d[:], h.Sum(nil))
+	return d
 }
 
-func writeString(h *xxhash.Digest, s string) {
+func writeString(h hash.Hash, s string) {
 	writeNumber(h, uint64(len(s)))
-	_, _ = h.WriteString(s) // never fails
+	_, _ = h.Write([]byte(s)) // never fails
 }
 
-func writeNumber(h *xxhash.Digest, n uint64) {
+func writeNumber(h hash.Hash, n uint64) {
 	var buf [8]byte
 	binary.LittleEndian.PutUint64(buf[:], n)
 	_, _ = h.Write(buf[:]) // never fails
--- a/internal/dispatcher/drain.go
+++ b/internal/dispatcher/drain.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "time"
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/claimer"
+)
 
 // drain begins a graceful shutdown: running jobs finish, no new one starts.
 func (m *Machine) drain(now time.Time) {
@@ -8,13 +12,13 @@
 		return
 	}
 	m.draining = true
-	m.claimsDrain(now)
+	m.claimerStep(now, claimer.DrainAsked{})
 	m.checkDrained()
 }
 
 // checkDrained reports, once, that the process may end.
 func (m *Machine) checkDrained() {
-	if !m.draining || m.drained || len(m.jobs) > 0 || len(m.forwards) > 0 || !m.claims.handedOver() {
+	if !m.draining || m.drained || len(m.jobs) > 0 || len(m.forwards) > 0 || !m.handedOver {
 		return
 	}
 	m.drained = true
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -49,13 +49,17 @@
 	Ideal    time.Duration // the longest run time of a task; 0 when none ran
 }
 
+// RecordsWhole reports that this entry VM holds all records of its shards in an epoch.
+type RecordsWhole struct{ Epoch identifier.Epoch }
+
 // Drained reports that the process may end: no job runs here, and the records
 // are on peers.
 type Drained struct{}
 
-func (Reply) isEffect()       {}
-func (Send) isEffect()        {}
-func (StartTask) isEffect()   {}
-func (StopTasks) isEffect()   {}
-func (JobObserved) isEffect() {}
-func (Drained) isEffect()     {}
+func (Reply) isEffect()        {}
+func (Send) isEffect()         {}
+func (StartTask) isEffect()    {}
+func (StopTasks) isEffect()    {}
+func (JobObserved) isEffect()  {}
+func (RecordsWhole) isEffect() {}
+func (Drained) isEffect()      {}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/enroller"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 	"github.com/peppertrack/peppertrack/internal/placer"
@@ -74,6 +75,12 @@
 	Profiles map[identifier.ProfileName]profileparser.Profile
 }
 
+// RosterAdopted puts a roster of this failure domain in force.
+type RosterAdopted struct{ Roster *enroller.Roster }
+
+// MemberGone reports that a member's process is proved to have ended.
+type MemberGone struct{ Member identifier.Member }
+
 // StoreReachable reports whether the platform's key-value service answers.
 type StoreReachable struct{ Reachable bool }
 
@@ -100,6 +107,8 @@
 func (BackendsListed) isEvent()  {}
 func (BackendUsage) isEvent()    {}
 func (ProfilesAdopted) isEvent() {}
+func (RosterAdopted) isEvent()   {}
+func (MemberGone) isEvent()      {}
 func (StoreReachable) isEvent()  {}
 func (StartEnded) isEvent()      {}
 func (DrainAsked) isEvent()      {}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -24,12 +24,14 @@
 type runningJob struct {
 	job          declarer.Job
 	profile      profileparser.Profile
-	digest       uint64
+	digest       identifier.Digest
 	arrived      time.Time
 	deadline     time.Time
 	unrepeatable bool
-	admitted     bool // its tasks are in the queue
-	cancelled    bool // before the claim was settled
+	hops         uint8 // times that the request was forwarded before
+	claimed      bool  // its claim was granted here
+	admitted     bool  // its tasks are in the queue
+	cancelled    bool  // before its claim was granted
 	waiters      []waiter
 	states       []taskState
 	backends     []identifier.BackendID // of the running tasks
@@ -40,24 +42,29 @@
 	weighing     placer.Weighing
 }
 
-func newRunningJob(now time.Time, job declarer.Job, profile profileparser.Profile) *runningJob {
-	deadline := profile.Deadline
-	if job.Deadline > 0 {
-		deadline = min(job.Deadline, profile.Deadline)
-	}
+func newRunningJob(now time.Time, job declarer.Job, hops uint8) *runningJob {
 	return &runningJob{
-		job:          job,
-		profile:      profile,
-		digest:       digest(job),
-		arrived:      now,
-		deadline:     now.Add(deadline),
-		unrepeatable: job.Unrepeatable || !profile.Repeatable,
-		states:       make([]taskState, len(job.Tasks)),
-		backends:     make([]identifier.BackendID, len(job.Tasks)),
-		outputs:      make([][]byte, len(job.Tasks)),
-		policy:       policyOf(profile.Placement),
-		weighing:     weighingOf(profile.Placement),
+		job:      job,
+		digest:   digest(job),
+		hops:     hops,
+		arrived:  now,
+		states:   make([]taskState, len(job.Tasks)),
+		backends: make([]identifier.BackendID, len(job.Tasks)),
+		outputs:  make([][]byte, len(job.Tasks)),
+	}
+}
+
+// setProfile sets how the job is treated.
+func (j *runningJob) setProfile(profile profileparser.Profile) {
+	deadline := profile.Deadline
+	if j.job.Deadline > 0 {
+		deadline = min(j.job.Deadline, profile.Deadline)
 	}
+	j.profile = profile
+	j.deadline = j.arrived.Add(deadline)
+	j.unrepeatable = j.job.Unrepeatable || !profile.Repeatable
+	j.policy = policyOf(profile.Placement)
+	j.weighing = weighingOf(profile.Placement)
 }
 
 // status returns the status of a job that has not ended.
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/claimer"
 	"github.com/peppertrack/peppertrack/internal/estimator"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/limiter"
@@ -28,6 +29,7 @@
 	profiles       map[identifier.ProfileName]profileparser.Profile
 	storeReachable bool
 	draining       bool
+	handedOver     bool // of the claims' records, for a shutdown
 	drained        bool
 
 	jobs      map[identifier.SubmissionID]*runningJob
@@ -40,7 +42,7 @@
 	peers    map[identifier.Member]identifier.FailureDomain
 	forwards map[peermessenger.RequestNumber]*forward
 	number   peermessenger.RequestNumber
-	claims   claims
+	claimer  *claimer.Claimer
 }
 
 // New returns a Machine without backend servers, profiles and peers.
@@ -66,7 +68,13 @@
 		batch:          firstBatch,
 		peers:          make(map[identifier.Member]identifier.FailureDomain),
 		forwards:       make(map[peermessenger.RequestNumber]*forward),
-		claims:         newClaims(opts),
+		claimer: claimer.New(claimer.Options{
+			Self:       opts.Self,
+			Domain:     opts.Domain,
+			Retention:  opts.Retention,
+			ClockBound: opts.ClockBound,
+			MaxRecords: opts.MaxRecords,
+		}),
 	}
 }
 
@@ -95,6 +103,10 @@
 		m.placerStep(now, placer.UsageReported{Backend: e.Backend, Used: e.Used, Leaving: e.Leaving})
 	case ProfilesAdopted:
 		m.profiles = e.Profiles
+	case RosterAdopted:
+		m.claimerStep(now, claimer.RosterAdopted{Roster: e.Roster})
+	case MemberGone:
+		m.claimerStep(now, claimer.GoneProved{Member: e.Member})
 	case StoreReachable:
 		m.storeReachable = e.Reachable
 	case StartEnded:
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -42,6 +42,4 @@
 	maxForwardAttempts = 10
 	// unreachableRetryAfter tells a caller when to come back to a home that can't be asked.
 	unreachableRetryAfter = time.Second
-	// shutdownRetryAfter tells a caller when to come back to another entry VM.
-	shutdownRetryAfter = 200 * time.Millisecond
 )
--- a/internal/dispatcher/peers.go
+++ b/internal/dispatcher/peers.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/claimer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/limiter"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
@@ -22,7 +23,7 @@
 	}
 	delete(m.peers, e.Member)
 	m.forwardsLost(now, e.Member)
-	m.claimsPeerLost(now, e.Member)
+	m.claimerStep(now, claimer.PeerLost{Member: e.Member})
 	m.placerStep(now, placer.PeerLost{Member: e.Member})
 	m.limiterStep(now, limiter.PeerLost{Member: e.Member})
 	m.membersChanged(now)
@@ -78,7 +79,7 @@
 	case peermessenger.JobReply:
 		m.forwardAnswered(message)
 	default:
-		m.claimsReceived(now, e)
+		m.claimerStep(now, claimer.PeerReceived{From: e.From, Message: e.Message})
 		m.placerStep(now, placer.PeerReceived{From: e.From, Message: e.Message})
 		m.limiterStep(now, limiter.PeerReceived{From: e.From, Message: e.Message})
 	}
--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/claimer"
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/placer"
@@ -110,7 +111,7 @@
 	if j.profile.Cancellation != letRun {
 		m.stopRunning(j)
 	}
-	m.claims.ended(j, ending)
+	m.claimerStep(now, claimer.JobEnded{Submission: j.job.Submission, Ending: ending})
 	m.count(ending)
 	m.emit(JobObserved{
 		Team:     j.job.Team,
--- a/internal/dispatcher/submit.go
+++ b/internal/dispatcher/submit.go
@@ -13,7 +13,10 @@
 // submit takes a submission: it goes to its home, and there it joins the
 // running job, gets the kept ending or becomes a new job.
 func (m *Machine) submit(now time.Time, r requester, job declarer.Job, wait bool, hops uint8) {
-	m.opts.Counters.JobsSubmitted.Add(1)
+	if j, ok := m.jobs[job.Submission]; ok {
+		m.join(r, j, job, wait)
+		return
+	}
 	home, denial := m.home(job.Submission, job.CreatedAt)
 	if denial != nil {
 		m.replyEnding(r, denial)
@@ -23,15 +26,11 @@
 		m.forwardTo(now, r, home, hops, peermessenger.SubmitJob{Job: job, Wait: wait, Hops: hops + 1})
 		return
 	}
-	if j, ok := m.jobs[job.Submission]; ok {
-		m.join(r, j, job, wait)
-		return
-	}
-	if ending, ok := m.claims.kept(job.Submission); ok {
-		m.replyKept(r, job, ending)
-		return
-	}
-	m.begin(now, r, job, wait)
+	m.opts.Counters.JobsSubmitted.Add(1)
+	j := newRunningJob(now, job, hops)
+	m.jobs[job.Submission] = j
+	m.addWaiter(r, j, time.Time{}, wait)
+	m.askClaim(now, j)
 }
 
 // join adds a resubmission to the running job.
@@ -48,16 +47,6 @@
 	m.addWaiter(r, j, time.Time{}, wait)
 }
 
-// replyKept answers a resubmission of a job that has ended.
-func (m *Machine) replyKept(r requester, job declarer.Job, kept keptEnding) {
-	m.opts.Counters.JobsJoined.Add(1)
-	if kept.digest != digest(job) || kept.team != job.Team {
-		m.replyEnding(r, bodyMismatch())
-		return
-	}
-	m.replyEnding(r, kept.ending)
-}
-
 func bodyMismatch() declarer.Ending {
 	return declarer.Unverifiable{
 		Cause:  declarer.BodyMismatch,
@@ -65,40 +54,21 @@
 	}
 }
 
-// begin claims a submission of which nothing is known here.
-func (m *Machine) begin(now time.Time, r requester, job declarer.Job, wait bool) {
-	profile, ok := m.profiles[job.Profile]
-	if !ok {
-		m.refuse(r, declarer.Refused{Cause: declarer.UnknownProfile, Detail: "no profile has the name " + string(job.Profile)})
+// start queues the tasks of a job whose claim was granted, or refuses it.
+func (m *Machine) start(now time.Time, j *runningJob) {
+	if j.cancelled {
+		m.cancelJob(now, j)
 		return
 	}
-	if refusal := m.check(job, profile); refusal != nil {
-		m.refuse(r, *refusal)
+	if refused := m.check(now, j); refused != nil {
+		m.end(now, j, *refused)
 		return
 	}
-	j := newRunningJob(now, job, profile)
-	m.jobs[job.Submission] = j
-	m.addWaiter(r, j, time.Time{}, wait)
-	m.askClaim(now, j)
-}
-
-// refuse answers a request of whose submission nothing ever started.
-func (m *Machine) refuse(r requester, refused declarer.Refused) {
-	m.opts.Counters.JobsRefused.Add(1)
-	m.replyEnding(r, refused)
-}
-
-// start queues the tasks of a job whose claim was granted, or refuses it.
-func (m *Machine) start(now time.Time, j *runningJob) {
 	if refusal := m.limiter.Admit(now, m.admission(j)); refusal != nil {
 		m.end(now, j, declarer.Refused{Cause: refusal.Cause, Detail: refusal.Detail, RetryAfter: refusal.RetryAfter})
 		return
 	}
 	j.admitted = true
-	if j.cancelled {
-		m.cancelJob(now, j)
-		return
-	}
 	heap.Push(&m.deadlines, deadline{at: j.deadline, submission: j.job.Submission})
 	m.releaseAdmitted(j)
 	m.pump(now)
--- a/internal/dispatcher/tick.go
+++ b/internal/dispatcher/tick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/claimer"
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/limiter"
@@ -16,7 +17,7 @@
 	m.endWaits(now)
 	m.flushStops()
 	m.tickForwards(now)
-	m.claimsTick(now)
+	m.claimerStep(now, claimer.Tick{})
 	m.placerStep(now, placer.Tick{})
 	m.limiterStep(now, limiter.Tick{})
 	m.limiter.SetCapacity(now, m.placer.Slots(now))
--- a/internal/loader/backendaudit.go
+++ b/internal/loader/backendaudit.go
@@ -72,3 +72,29 @@
 	}
 	return starts, lines.Err()
 }
+
+// serverList is the part of the backend servers' list that is read.
+type serverList struct {
+	Servers []struct {
+		VM struct {
+			Slots identifier.Slots `json:"slots"`
+		} `json:"vm"`
+	} `json:"servers"`
+}
+
+// CountSlots returns the slots of all backend servers behind an administration.
+func CountSlots(ctx context.Context, address string) (slots identifier.Slots, err error) {
+	defer func() { err = errors.Wrap(err, "counting slots") }()
+	body, err := newScraper().get(ctx, "http://"+address+"/v1/servers", scrapeLimit)
+	if err != nil {
+		return 0, err
+	}
+	var list serverList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return 0, err
+	}
+	for _, server := range list.Servers {
+		slots += server.VM.Slots
+	}
+	return slots, nil
+}
--- a/internal/loader/messages.go
+++ b/internal/loader/messages.go
@@ -3,18 +3,16 @@
 import (
 	"fmt"
 	"io"
-	"maps"
-	"slices"
 )
 
-// Messages counts what was sent on behalf of the workload, by kind. A request
-// and its answer count as one exchange.
+// Messages counts what the daemons that answer at the end of a run have sent and
+// got, by kind. A request and its answer count as one message each.
 type Messages struct {
-	// Needed exchanges contributed to an answer.
+	// Needed messages to and from backend servers contributed to an answer.
 	Needed int64 `json:"needed"`
-	// Wasted exchanges contributed to none.
+	// Wasted messages to and from backend servers contributed to none.
 	Wasted int64 `json:"wasted"`
-	// Control messages keep the entry VMs in step, whatever the jobs.
+	// Control messages went between entry VMs, claims included.
 	Control int64 `json:"control"`
 	// Kinds holds the count of each kind.
 	Kinds map[string]int64 `json:"kinds"`
@@ -47,9 +45,10 @@
 	}
 }
 
-// WastedShare returns the wasted messages as a share of all.
+// WastedShare returns the wasted messages as a share of those to and from
+// backend servers.
 func (m Messages) WastedShare() float64 {
-	all := m.Needed + m.Wasted + m.Control
+	all := m.Needed + m.Wasted
 	if all == 0 {
 		return 0
 	}
@@ -63,9 +62,7 @@
 		}
 		return float64(n) / float64(tasks)
 	}
-	fmt.Fprintf(w, "messages a task\tneeded %.3f  wasted %.4f  control %.3f  (wasted %.3f%% of all)\n",
+	fmt.Fprintf(w, "messages a task\tneeded %.3f  wasted %.4f  control %.3f  (wasted %.3f%%)\n",
 		perTask(m.Needed), perTask(m.Wasted), perTask(m.Control), m.WastedShare()*100)
-	for _, kind := range slices.Sorted(maps.Keys(m.Kinds)) {
-		fmt.Fprintf(w, "  %s\t%d\n", kind, m.Kinds[kind])
-	}
+	writeCounts(w, "  ", m.Kinds)
 }
--- a/internal/loader/meter.go
+++ b/internal/loader/meter.go
@@ -54,18 +54,6 @@
 	m.addBackends(report, summary)
 }
 
-// daemonCounters says of each counter of a daemon, by the end of its path, what
-// it tells of messages.
-var daemonCounters = map[string]class{
-	"jobsForwarded":    needed,
-	"lateResults":      wasted,
-	"tasksLost":        wasted,
-	"stopRequests":     wasted,
-	"jobsRefused":      wasted,
-	"jobsUnverifiable": wasted,
-	"messagesSent":     control,
-}
-
 // addDaemon adds one daemon's growth since the start of the run. A counter that
 // fell belongs to a new process and counts whole.
 func (m *meter) addDaemon(report *Report, before, after counters) {
@@ -74,40 +62,48 @@
 		if grown < 0 {
 			grown = value
 		}
-		name := path[strings.LastIndexByte(path, '.')+1:]
-		if c, ok := daemonCounters[name]; ok {
-			report.Messages.add(c, path, int64(grown))
-		}
-		switch name {
-		case "processorSeconds":
-			report.Cost.Processor += time.Duration(grown * float64(time.Second))
-		case "HeapAlloc":
-			report.Cost.HeapBytes += int64(value)
-		case "runningJobs":
-			report.Cost.RunningJobs += int64(value)
-		case "queuedTasks":
-			report.Cost.QueuedTasks += int64(value)
-		}
+		m.addCounter(report, path, value, grown)
 	}
 }
 
-// addBackends adds the exchanges that the backend servers saw.
+func (m *meter) addCounter(report *Report, path string, value, grown float64) {
+	kind, isBackend := strings.CutPrefix(path, "backends.")
+	cost := &report.Cost
+	switch {
+	case isBackend && strings.HasSuffix(kind, ".needed"):
+		report.Messages.add(needed, kind, int64(grown))
+	case isBackend && strings.HasSuffix(kind, ".wasted"):
+		report.Messages.add(wasted, kind, int64(grown))
+	case path == "peers.messagesSent":
+		report.Messages.add(control, "betweenEntryVMs", int64(grown))
+	case path == "process.cpuSeconds" && !m.opts.SharedProcess:
+		cost.Processor += time.Duration(grown * float64(time.Second))
+	case path == "process.heapBytes" && !m.opts.SharedProcess:
+		cost.HeapBytes += int64(value)
+	case path == "dispatcher.runningJobs":
+		cost.RunningJobs += int64(value)
+	case path == "dispatcher.queuedTasks":
+		cost.QueuedTasks += int64(value)
+	}
+}
+
+// addBackends adds the starts that the backend servers saw.
 func (m *meter) addBackends(report *Report, after backendSummary) {
-	for ending, count := range after.Endings {
-		c := needed
-		if ending != backendSucceeded {
-			c = wasted
+	report.StartEndings = growth(after.Endings, m.backend.Endings)
+	report.StartRefusals = growth(after.Refusals, m.backend.Refusals)
+	report.StillRunning = after.Running
+}
+
+func growth(after, before map[string]int64) map[string]int64 {
+	grown := make(map[string]int64)
+	for name, count := range after {
+		if count > before[name] {
+			grown[name] = count - before[name]
 		}
-		report.Messages.add(c, "starts."+ending, count-m.backend.Endings[ending])
-	}
-	for reason, count := range after.Refusals {
-		report.Messages.add(wasted, "startsRefused."+reason, count-m.backend.Refusals[reason])
 	}
+	return grown
 }
 
-// backendSucceeded is the ending of a task that ran to its end.
-const backendSucceeded = "succeeded"
-
 // audit joins the starts of the run with its observations.
 func (r *run) audit(ctx context.Context, m *meter, report *Report) (err error) {
 	if r.opts.BackendControl == "" {
--- a/internal/loader/options.go
+++ b/internal/loader/options.go
@@ -30,6 +30,9 @@
 	// BackendControl is the control address of the stand-in for backend servers,
 	// as IP and port; empty leaves out the audit and its counters.
 	BackendControl string
+	// SharedProcess says that the daemons run in one process with others, so that
+	// its processor time and memory tell nothing of a daemon.
+	SharedProcess bool
 	// Attempts and RequestTimeout bound each request.
 	Attempts       int
 	RequestTimeout time.Duration
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -14,27 +14,50 @@
 
 // Report is the result of a run.
 type Report struct {
-	Seed        uint64                      `json:"seed"`
-	Load        float64                     `json:"load"`
-	Slots       identifier.Slots            `json:"slots"`
-	Elapsed     time.Duration               `json:"elapsedNanos"`
-	RoundTrip   time.Duration               `json:"roundTripNanos"`
-	Jobs        int                         `json:"jobs"`
-	Tasks       int                         `json:"tasks"`
-	NotSent     int                         `json:"notSent"`
-	LeftOver    int                         `json:"leftOver"` // requests without an answer at the end
-	Lateness    time.Duration               `json:"latenessNanos"`
-	Endings     map[string]int              `json:"endings"`
-	Causes      map[string]int              `json:"causes"`
-	All         Figures                     `json:"all"`
-	Teams       map[identifier.Team]Figures `json:"teams"`
-	Seconds     []Figures                   `json:"seconds"`
-	Messages    Messages                    `json:"messages"`
-	Cost        Cost                        `json:"cost"`
-	Audited     bool                        `json:"audited"`
-	Starts      int                         `json:"starts"`
-	Violations  []auditor.Violation         `json:"violations"`
-	Unreachable []string                    `json:"unreachable"` // counters that could not be read
+	Seed      uint64                      `json:"seed"`
+	Load      float64                     `json:"load"`
+	Slots     identifier.Slots            `json:"slots"`
+	Elapsed   time.Duration               `json:"elapsedNanos"`
+	RoundTrip time.Duration               `json:"roundTripNanos"`
+	Jobs      int                         `json:"jobs"`
+	Tasks     int                         `json:"tasks"`
+	NotSent   int                         `json:"notSent"`
+	LeftOver  int                         `json:"leftOver"` // requests without an answer at the end
+	Lateness  time.Duration               `json:"latenessNanos"`
+	Endings   map[string]int              `json:"endings"`
+	Causes    map[string]int              `json:"causes"`
+	All       Figures                     `json:"all"`
+	Curve     []Point                     `json:"curve"`
+	Teams     map[identifier.Team]Figures `json:"teams"`
+	Seconds   []Figures                   `json:"seconds"`
+	Messages  Messages                    `json:"messages"`
+	Cost      Cost                        `json:"cost"`
+	Audited   bool                        `json:"audited"`
+	Starts    int                         `json:"starts"`
+	// StartEndings and StartRefusals count the starts that the backend servers
+	// saw, and StillRunning the tasks that ran on at the end.
+	StartEndings  map[string]int64    `json:"startEndings"`
+	StartRefusals map[string]int64    `json:"startRefusals"`
+	StillRunning  uint64              `json:"stillRunning"`
+	Violations    []auditor.Violation `json:"violations"`
+	Unreachable   []string            `json:"unreachable"` // counters that could not be read
+}
+
+// Point is one point of the distribution of response times over the ideal.
+type Point struct {
+	Percent float64 `json:"percent"`
+	Ratio   float64 `json:"ratio"`
+}
+
+// curvePercents are the points of the distribution in a report.
+var curvePercents = []float64{1, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 100}
+
+func (s *series) curve() []Point {
+	points := make([]Point, len(curvePercents))
+	for i, percent := range curvePercents {
+		points[i] = Point{Percent: percent, Ratio: float64(s.ratio.ValueAtQuantile(percent)) / ratioUnit}
+	}
+	return points
 }
 
 // Figures are the measures of a group of jobs. Ratios are response times over
@@ -85,12 +108,8 @@
 	fmt.Fprintf(t, "offered\t%d jobs, %d tasks, %.0f%% of %d slots\n", r.Jobs, r.Tasks, r.Load*100, r.Slots)
 	fmt.Fprintf(t, "elapsed\t%v\n", r.Elapsed.Round(time.Millisecond))
 	fmt.Fprintf(t, "round trip\t%v\n", r.RoundTrip.Round(time.Microsecond))
-	for _, name := range slices.Sorted(maps.Keys(r.Endings)) {
-		fmt.Fprintf(t, "%s\t%d\n", name, r.Endings[name])
-	}
-	for _, name := range slices.Sorted(maps.Keys(r.Causes)) {
-		fmt.Fprintf(t, "  %s\t%d\n", name, r.Causes[name])
-	}
+	writeCounts(t, "", r.Endings)
+	writeCounts(t, "  ", r.Causes)
 	fmt.Fprintf(t, "goodput\t%.2f%%\n", r.All.Goodput*100)
 	fmt.Fprintf(t, "response over ideal\tp50 %.3f  p99 %.3f  p99.9 %.3f  max %.3f\n", r.All.P50, r.All.P99, r.All.P999, r.All.Max)
 	fmt.Fprintf(t, "added time\tp50 %v  p99 %v\n", r.All.AddedP50, r.All.AddedP99)
@@ -99,6 +118,9 @@
 	fmt.Fprintf(t, "late arrivals of the load tool\tat most %v\n", r.Lateness.Round(time.Microsecond))
 	fmt.Fprintf(t, "not sent\t%d\n", r.NotSent)
 	fmt.Fprintf(t, "left over\t%d\n", r.LeftOver)
+	for _, address := range r.Unreachable {
+		fmt.Fprintf(t, "counters not read\t%s\n", address)
+	}
 	r.writeAudit(t)
 	return t.Flush()
 }
@@ -108,12 +130,23 @@
 		fmt.Fprintf(w, "audit\tnot run: no control address of the backend servers\n")
 		return
 	}
-	fmt.Fprintf(w, "starts seen\t%d\n", r.Starts)
+	fmt.Fprintf(w, "starts seen\t%d, %d still running\n", r.Starts, r.StillRunning)
+	writeCounts(w, "ended ", r.StartEndings)
+	writeCounts(w, "refused ", r.StartRefusals)
 	fmt.Fprintf(w, "violations\t%d\n", len(r.Violations))
 	for _, violation := range r.Violations {
 		fmt.Fprintf(w, "  %s\n", violation)
 	}
-	for _, address := range r.Unreachable {
-		fmt.Fprintf(w, "  counters not read\t%s\n", address)
+}
+
+func writeCounts[N int | int64](w io.Writer, prefix string, counts map[string]N) {
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, "%s%s\t%d\n", prefix, name, counts[name])
 	}
 }
+
+// Failed says whether the run broke a promise: a violation, or a request that
+// was left over, not sent or not answered.
+func (r Report) Failed() bool {
+	return len(r.Violations) > 0 || r.LeftOver > 0 || r.NotSent > 0 || r.Endings[unanswered] > 0
+}
--- a/internal/loader/run.go
+++ b/internal/loader/run.go
@@ -55,6 +55,9 @@
 	meter := newMeter(ctx, scraper, opts)
 	leftOver := r.offer(ctx, planner)
 	elapsed := time.Since(r.start)
+	if r.recorder.all.offered == 0 && r.notSent == 0 {
+		return Report{}, errors.New("the workload offers no job in its duration")
+	}
 	report = r.report(elapsed, leftOver)
 	meter.finish(ctx, &report)
 	err = r.audit(ctx, meter, &report)
@@ -65,7 +68,7 @@
 	for i, team := range r.opts.Workload.Teams {
 		s, err := jobsubmitter.New(ctx, jobsubmitter.Options{
 			Addresses:      r.opts.EntryVMs,
-			Token:          team.Token,
+			Token:          team.bearer(),
 			Attempts:       r.opts.Attempts,
 			RequestTimeout: r.opts.RequestTimeout,
 			KeepRefusals:   true,
@@ -154,6 +157,7 @@
 		Endings:   rec.endings,
 		Causes:    rec.causes,
 		All:       rec.all.figures(),
+		Curve:     rec.all.curve(),
 		Teams:     rec.teamFigures(r.opts.Workload.Teams),
 	}
 	for _, second := range rec.seconds {
--- a/internal/loader/run_test.go
+++ b/internal/loader/run_test.go
@@ -48,7 +48,7 @@
 	case "/v1/audit/summary":
 		_ = json.NewEncoder(w).Encode(backendSummary{Endings: map[string]int64{"succeeded": int64(len(f.starts))}})
 	case "/debug/vars":
-		_, _ = w.Write([]byte(`{"dispatcher":{"tasksStarted":1,"lateResults":0}}`))
+		fmt.Fprintf(w, `{"backends":{"start":{"needed":%d}}}`, len(f.starts))
 	default:
 		_, _ = w.Write([]byte("ok"))
 	}
--- a/internal/loader/workload.go
+++ b/internal/loader/workload.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +59,8 @@
 	Factor float64 `yaml:"factor" json:"factor"`
 }
 
-// Team is a team of callers and its share of the arrivals.
+// Team is a team of callers and its share of the arrivals. Without a token it
+// sends its name, which is what a system on loopback alone asks for.
 type Team struct {
 	Name   identifier.Team `yaml:"name" json:"name"`
 	Token  string          `yaml:"token" json:"-"`
@@ -101,7 +103,7 @@
 		TasksMax: 200,
 		RunTimes: RunTimes{Kind: KindUniform, Min: 50 * time.Millisecond, Max: time.Second},
 		Declared: Declared{Factor: 1},
-		Teams:    []Team{{Name: "exchange", Token: "exchange-token", Weight: 1}},
+		Teams:    []Team{{Name: "exchange", Weight: 1}},
 	}
 }
 
@@ -158,6 +160,8 @@
 	return nil
 }
 
+func (t Team) bearer() string { return cmp.Or(t.Token, string(t.Name)) }
+
 func isShare(share float64) bool { return share >= 0 && share <= 1 }
 
 // rateFactor returns the multiplier of the arrival rate at a time.
--- /dev/null
+++ b/internal/runner/certificates.go
@@ -0,0 +1,35 @@
+package runner
+
+import (
+	"crypto/tls"
+
+	"github.com/peppertrack/peppertrack/internal/certificateloader"
+	"github.com/peppertrack/peppertrack/internal/settingsloader"
+)
+
+// openCertificates loads the certificates of the links, if the settings name any.
+func (r *Runner) openCertificates() (err error) {
+	files := r.opts.Settings.TLS
+	if files == (settingsloader.TLS{}) {
+		return nil
+	}
+	r.certificates, err = certificateloader.New(certificateloader.Options{
+		CertificateFile: files.CertificateFile,
+		KeyFile:         files.KeyFile,
+		AuthorityFile:   files.AuthorityFile,
+		Interval:        certificateInterval,
+		Logger:          r.opts.Logger,
+	})
+	if err != nil {
+		return err
+	}
+	r.listeners.peers = tls.NewListener(r.listeners.peers, r.certificates.Server())
+	return nil
+}
+
+func (r *Runner) clientTLS() *tls.Config {
+	if r.certificates == nil {
+		return nil
+	}
+	return r.certificates.Client()
+}
--- /dev/null
+++ b/internal/runner/effects.go
@@ -0,0 +1,25 @@
+package runner
+
+import (
+	"github.com/peppertrack/peppertrack/internal/dispatcher"
+	"github.com/peppertrack/peppertrack/internal/enroller"
+)
+
+// perform carries out one effect of the dispatcher's machine. It never blocks.
+func (r *Runner) perform(effect dispatcher.Effect) {
+	switch e := effect.(type) {
+	case dispatcher.Reply:
+		r.requests.answer(e)
+	case dispatcher.Send:
+		r.linker.Send(e.To, e.Message)
+	case dispatcher.StartTask:
+		r.backends.start(e)
+	case dispatcher.StopTasks:
+		r.backends.stop(e)
+	case dispatcher.RecordsWhole:
+		r.rosterRing.offer(enroller.RecordsWhole{Epoch: e.Epoch})
+	case dispatcher.JobObserved:
+	case dispatcher.Drained:
+		close(r.drained)
+	}
+}
--- /dev/null
+++ b/internal/runner/options.go
@@ -0,0 +1,44 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+	"github.com/peppertrack/peppertrack/internal/settingsloader"
+)
+
+// Platform is what the runner needs of the platform.
+type Platform interface {
+	platformcaller.Store
+	platformcaller.Lister
+}
+
+// Options configure a Runner.
+type Options struct {
+	Settings    settingsloader.Settings
+	Incarnation identifier.Incarnation // 0: the time of the start
+	Logger      log.Logger
+	Platform    Platform // nil: a client of the settings' URL
+	// Dial connects to peers; nil: TCP. Tests use it to cut links.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Profiles are in force until the store or a peer gives others.
+	Profiles []profileparser.Profile
+}
+
+const (
+	dispatchRingCapacity = 1 << 14
+	controlRingCapacity  = 1 << 12
+	tickInterval         = 5 * time.Millisecond
+	controlTickInterval  = 100 * time.Millisecond
+	serverHeaderTimeout  = 5 * time.Second
+	usageInterval        = time.Second
+	shutdownHTTPTimeout  = 2 * time.Second
+	busyRetryAfter       = 250 * time.Millisecond
+	certificateInterval  = 10 * time.Second
+)
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,226 @@
+// Package runner assembles the daemon of one entry VM: the state machines, each
+// owned by a goroutine, and the shells that join them to the network.
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/peppertrack/peppertrack/internal/authenticator"
+	"github.com/peppertrack/peppertrack/internal/backendcaller"
+	"github.com/peppertrack/peppertrack/internal/certificateloader"
+	"github.com/peppertrack/peppertrack/internal/dispatcher"
+	"github.com/peppertrack/peppertrack/internal/enroller"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peerlinker"
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+)
+
+// Runner is the daemon of one entry VM.
+type Runner struct {
+	opts     Options
+	self     identifier.Member
+	platform Platform
+	close    func() // of what New has opened for the platform
+
+	dispatchRing ring[dispatcher.Event]
+	rosterRing   ring[enroller.Event]
+	requests     *requests
+	backends     *backends
+	linker       *peerlinker.Linker
+	links        *linkTable
+	auth         *authenticator.Authenticator
+	certificates *certificateloader.Loader // nil: plain links
+	counters     dispatcher.Counters
+
+	listeners listeners
+	servers   []*http.Server
+	group     *errgroup.Group
+	cancel    context.CancelFunc
+
+	reachable atomic.Bool // the platform answered the last call
+	joined    atomic.Bool // a roster holds this process
+	draining  atomic.Bool
+	drained   chan struct{}
+	failed    <-chan struct{}
+	listings  enroller.Revision // readings of the list of VMs; owned by watchVMs
+}
+
+// Start starts a Runner. It serves until Close or Shutdown.
+func Start(opts Options) (r *Runner, err error) {
+	defer func() { err = errors.Wrapf(err, "starting entry VM %s", opts.Settings.VM) }()
+	if opts.Incarnation == 0 {
+		opts.Incarnation = identifier.Incarnation(time.Now().UnixNano())
+	}
+	r = &Runner{
+		opts:    opts,
+		self:    identifier.Member{VM: opts.Settings.VM, Incarnation: opts.Incarnation},
+		drained: make(chan struct{}),
+	}
+	if err := r.openPlatform(); err != nil {
+		return nil, err
+	}
+	r.listeners, err = listen(opts.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.group, ctx = errgroup.WithContext(ctx)
+	r.failed = ctx.Done()
+	if err := r.assemble(ctx); err != nil {
+		cancel()
+		r.listeners.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// openPlatform sets the platform's client.
+func (r *Runner) openPlatform() error {
+	r.close = func() {}
+	if r.opts.Platform != nil {
+		r.platform = r.opts.Platform
+		return nil
+	}
+	client, err := platformcaller.New(platformcaller.Options{
+		BaseURL:       r.opts.Settings.Platform.URL,
+		Caller:        r.opts.Settings.VM,
+		FailureDomain: r.opts.Settings.FailureDomain,
+		Timeout:       r.opts.Settings.Platform.Timeout,
+	})
+	if err != nil {
+		return err
+	}
+	r.platform = client
+	r.close = client.Close
+	return nil
+}
+
+// assemble starts every duty.
+func (r *Runner) assemble(ctx context.Context) error {
+	r.dispatchRing = newRing[dispatcher.Event](ctx, dispatchRingCapacity)
+	r.rosterRing = newRing[enroller.Event](ctx, controlRingCapacity)
+	r.requests = newRequests(r.dispatchRing)
+	caller, err := backendcaller.New(backendcaller.Options{
+		Caller:        r.opts.Settings.VM,
+		FailureDomain: r.opts.Settings.FailureDomain,
+	})
+	if err != nil {
+		return err
+	}
+	r.backends = &backends{ctx: ctx, caller: caller, holder: r.opts.Settings.VM, ring: r.dispatchRing}
+	r.auth, err = r.newAuthenticator()
+	if err != nil {
+		return err
+	}
+	r.links = newLinkTable()
+	if err := r.openCertificates(); err != nil {
+		return err
+	}
+	r.linker = peerlinker.New(peerlinker.Options{
+		Self:   peerlinker.Peer{Member: r.self, Domain: r.opts.Settings.FailureDomain, Address: r.listeners.peers.Addr().String()},
+		Seeds:  r.opts.Settings.Peers,
+		Handle: r.linkEvent,
+		Logger: r.opts.Logger,
+		Dial:   r.opts.Dial,
+		TLS:    r.clientTLS(),
+	})
+	r.startDuties(ctx)
+	r.adoptProfiles(r.opts.Profiles)
+	r.serve()
+	return nil
+}
+
+func (r *Runner) startDuties(ctx context.Context) {
+	dispatch := &dispatchDuty{ring: r.dispatchRing, machine: r.newMachine(), perform: r.perform}
+	roster := &rosterDuty{
+		ring: r.rosterRing,
+		machine: enroller.New(enroller.Options{
+			Domain:  r.opts.Settings.FailureDomain,
+			Self:    r.self,
+			Address: r.listeners.peers.Addr().String(),
+			Rand:    r.newRand(),
+		}),
+		store:    r.platform,
+		key:      enroller.StoreKey(r.opts.Settings.FailureDomain),
+		timeout:  r.opts.Settings.Platform.Timeout,
+		send:     func(s enroller.Send) { r.linker.Send(s.To, s.Message) },
+		connect:  r.linker.Connect,
+		adopt:    r.rosterAdopted,
+		dispatch: r.dispatchRing,
+	}
+	r.group.Go(func() error { return dispatch.run(ctx) })
+	r.group.Go(func() error { return roster.run(ctx) })
+	r.group.Go(func() error { return r.watchVMs(ctx) })
+	r.group.Go(func() error { return r.findDomains(ctx) })
+}
+
+func (r *Runner) newMachine() *dispatcher.Machine {
+	s := r.opts.Settings
+	return dispatcher.New(dispatcher.Options{
+		Self:       r.self,
+		Domain:     s.FailureDomain,
+		Domains:    s.FailureDomains,
+		Rand:       r.newRand(),
+		MaxRecords: s.Records.MaxCount,
+		Retention:  s.Records.Retention,
+		ClockBound: s.Records.ClockBound,
+		Counters:   &r.counters,
+	})
+}
+
+func (r *Runner) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(r.self.Incarnation), rand.Uint64()))
+}
+
+// Addresses returns where the runner listens.
+func (r *Runner) Addresses() (callers, operators, peers net.Addr) {
+	return r.listeners.callers.Addr(), r.listeners.operators.Addr(), r.listeners.peers.Addr()
+}
+
+// Counters returns the dispatcher's counters, which may be read at any time.
+func (r *Runner) Counters() *dispatcher.Counters { return &r.counters }
+
+// Self returns the name of this process.
+func (r *Runner) Self() identifier.Member { return r.self }
+
+// Failed is closed when a duty has failed, or the runner was closed.
+func (r *Runner) Failed() <-chan struct{} { return r.failed }
+
+// Shutdown ends the runner once its jobs have ended and its records are on
+// peers, or when the context ends, whichever is first.
+func (r *Runner) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "shutting down") }()
+	r.draining.Store(true)
+	r.rosterRing.put(enroller.LeaveRequested{})
+	r.dispatchRing.put(dispatcher.DrainAsked{})
+	var cause error
+	select {
+	case <-r.drained:
+	case <-ctx.Done():
+		cause = ctx.Err()
+	}
+	return errors.CombineErrors(cause, r.Close())
+}
+
+// Close ends the runner at once and waits for its goroutines.
+func (r *Runner) Close() error {
+	r.draining.Store(true)
+	r.closeServers()
+	r.cancel()
+	err := r.linker.Close()
+	r.backends.Close()
+	if r.certificates != nil {
+		r.certificates.Close()
+	}
+	r.close()
+	return errors.CombineErrors(r.group.Wait(), err)
+}
--- /dev/null
+++ b/internal/runner/servers.go
@@ -0,0 +1,90 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/authenticator"
+	"github.com/peppertrack/peppertrack/internal/callerserver"
+	"github.com/peppertrack/peppertrack/internal/enroller"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// serve starts the HTTP servers.
+func (r *Runner) serve() {
+	r.serveOn(r.listeners.callers, r.callersHandler())
+	r.serveOn(r.listeners.operators, r.operatorsHandler())
+	r.serveOn(r.listeners.peers, r.linker.Handler())
+}
+
+func (r *Runner) serveOn(l net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: serverHeaderTimeout}
+	r.servers = append(r.servers, server)
+	r.group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serving on %s", l.Addr())
+		}
+		return nil
+	})
+}
+
+// closeServers lets open requests end, within a bound.
+func (r *Runner) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownHTTPTimeout)
+	defer cancel()
+	for _, server := range r.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close() // the requests that are left are cut off
+		}
+	}
+}
+
+func (r *Runner) callersHandler() http.Handler {
+	c := r.opts.Settings.Callers
+	return callerserver.New(callerserver.Options{
+		Dispatcher:   r.requests,
+		Authenticate: r.authenticate,
+		Domain:       r.opts.Settings.FailureDomain,
+		MaxBodyBytes: c.MaxBodyBytes,
+		MaxTasks:     c.MaxTasks,
+		MaxRequests:  c.MaxRequests,
+		MaxWait:      c.MaxWait,
+		Ready:        r.Ready,
+		Metrics:      r.metricsHandler(),
+		Logger:       r.opts.Logger,
+	})
+}
+
+// Ready reports whether new requests should be sent here.
+func (r *Runner) Ready() bool {
+	return r.joined.Load() && !r.draining.Load()
+}
+
+func (r *Runner) authenticate(request *http.Request) (identifier.Team, error) {
+	return r.auth.Caller(request.Header.Get("Authorization"))
+}
+
+func (r *Runner) newAuthenticator() (*authenticator.Authenticator, error) {
+	opts := authenticator.Options{Open: !r.opts.Settings.Callers.RequireTokens}
+	if hash := r.opts.Settings.Operators.BootstrapTokenHash; hash != "" {
+		if err := opts.Bootstrap.UnmarshalText([]byte(hash)); err != nil {
+			return nil, errors.Wrap(err, "operators.bootstrapTokenHash")
+		}
+	}
+	return authenticator.New(opts), nil
+}
+
+// rosterAdopted notes whether the roster in force holds this process.
+func (r *Runner) rosterAdopted(roster *enroller.Roster) {
+	_, ok := roster.Find(r.self)
+	r.joined.Store(ok)
+}
+
+func (r *Runner) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", r.metricsHandler())
+	return mux
+}
--- a/internal/settingsloader/check.go
+++ b/internal/settingsloader/check.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"slices"
 	"time"
+
+	"github.com/peppertrack/peppertrack/internal/authenticator"
 )
 
 const (
@@ -25,7 +27,7 @@
 // check returns the first field that is out of bounds.
 func check(s Settings, l locator) error {
 	checks := []func(Settings, locator) error{
-		checkNames, checkListen, checkPeers, checkPlatform, checkCallers, checkRecords, checkTLS,
+		checkNames, checkListen, checkPeers, checkPlatform, checkCallers, checkOperators, checkRecords, checkTLS,
 	}
 	for _, c := range checks {
 		if err := c(s, l); err != nil {
@@ -117,12 +119,21 @@
 	if err := checkCount(int64(s.Callers.MaxRequests), 1<<20, "callers.maxRequests", l); err != nil {
 		return err
 	}
-	if !s.Callers.RequireTokens && s.Callers.OpenTeam == "" {
-		return l.fail("callers.openTeam", "is empty while no tokens are required")
-	}
 	return checkDuration(s.Callers.MaxWait, time.Hour, "callers.maxWait", l)
 }
 
+func checkOperators(s Settings, l locator) error {
+	hash := s.Operators.BootstrapTokenHash
+	if hash == "" {
+		return nil
+	}
+	var parsed authenticator.Hash
+	if err := parsed.UnmarshalText([]byte(hash)); err != nil {
+		return l.fail("operators.bootstrapTokenHash", err.Error())
+	}
+	return nil
+}
+
 func checkRecords(s Settings, l locator) error {
 	if err := checkDuration(s.Records.Retention, maxRetention, "records.retention", l); err != nil {
 		return err
--- a/internal/settingsloader/defaults.go
+++ b/internal/settingsloader/defaults.go
@@ -17,7 +17,6 @@
 		},
 		Callers: Callers{
 			RequireTokens: true,
-			OpenTeam:      "default",
 			MaxBodyBytes:  8 << 20,
 			MaxTasks:      1900,
 			MaxRequests:   20_000,
--- a/internal/settingsloader/load.go
+++ b/internal/settingsloader/load.go
@@ -82,11 +82,24 @@
 	}
 	document := nest(strings.Split(path, "."), value)
 	if err := decodeStrict([]byte(document), settings); err != nil {
-		return &FieldError{Source: source, Field: path, Problem: err.Error()}
+		return &FieldError{Source: source, Field: path, Problem: problemOf(err)}
 	}
 	return nil
 }
 
+// problemOf returns what YAML has against one value, without its line.
+func problemOf(err error) string {
+	var typeError *yaml.TypeError
+	if !errors.As(err, &typeError) || len(typeError.Errors) == 0 {
+		return err.Error()
+	}
+	_, problem, found := strings.Cut(typeError.Errors[0], ": ")
+	if !found {
+		return typeError.Errors[0]
+	}
+	return problem
+}
+
 // nest returns a YAML document in which the keys lead to the value.
 func nest(keys []string, value string) string {
 	var b strings.Builder
--- a/internal/settingsloader/settings.go
+++ b/internal/settingsloader/settings.go
@@ -16,6 +16,7 @@
 	Peers          []string                   `yaml:"peers"` // addresses of some peers, each an IP and port
 	Platform       Platform                   `yaml:"platform"`
 	Callers        Callers                    `yaml:"callers"`
+	Operators      Operators                  `yaml:"operators"`
 	Records        Records                    `yaml:"records"`
 	Shutdown       Shutdown                   `yaml:"shutdown"`
 	TLS            TLS                        `yaml:"tls"`
@@ -37,12 +38,18 @@
 
 // Callers bounds what callers may ask for.
 type Callers struct {
-	RequireTokens bool            `yaml:"requireTokens"`
-	OpenTeam      identifier.Team `yaml:"openTeam"` // the team of every caller when no tokens are required
-	MaxBodyBytes  int64           `yaml:"maxBodyBytes"`
-	MaxTasks      int             `yaml:"maxTasks"`    // of one job
-	MaxRequests   int             `yaml:"maxRequests"` // open at one time
-	MaxWait       time.Duration   `yaml:"maxWait"`     // of one fetch
+	RequireTokens bool          `yaml:"requireTokens"` // false: a bearer token is the name of its team; for loopback alone
+	MaxBodyBytes  int64         `yaml:"maxBodyBytes"`
+	MaxTasks      int           `yaml:"maxTasks"`    // of one job
+	MaxRequests   int           `yaml:"maxRequests"` // open at one time
+	MaxWait       time.Duration `yaml:"maxWait"`     // of one fetch
+}
+
+// Operators says who may use the operators' API.
+type Operators struct {
+	// BootstrapTokenHash is the SHA-256, in hexadecimal, of a token that is
+	// valid before any other was created; empty: none.
+	BootstrapTokenHash string `yaml:"bootstrapTokenHash"`
 }
 
 // Records says how long and how many records of submissions are kept.
--- /dev/null
+++ b/internal/systemrunner/linkcutter.go
@@ -0,0 +1,99 @@
+package systemrunner
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// linkCutter cuts the links between failure domains.
+type linkCutter struct {
+	mu      sync.Mutex
+	domains map[string]identifier.FailureDomain // by peer address
+	cuts    map[domainPair]struct{}
+	conns   map[net.Conn]domainPair
+}
+
+// domainPair is a direction between two failure domains.
+type domainPair struct{ from, to identifier.FailureDomain }
+
+func newLinkCutter() *linkCutter {
+	return &linkCutter{
+		domains: make(map[string]identifier.FailureDomain),
+		cuts:    make(map[domainPair]struct{}),
+		conns:   make(map[net.Conn]domainPair),
+	}
+}
+
+// place tells in which failure domain an address is.
+func (c *linkCutter) place(address string, domain identifier.FailureDomain) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.domains[address] = domain
+}
+
+// dialer returns the dial function of the entry VMs in a failure domain.
+func (c *linkCutter) dialer(from identifier.FailureDomain) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if c.isCut(from, address) {
+			return nil, errors.Newf("the link to %s is cut", address)
+		}
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return c.track(conn, from, address), nil
+	}
+}
+
+func (c *linkCutter) isCut(from identifier.FailureDomain, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, cut := c.cuts[domainPair{from, c.domains[address]}]
+	return cut
+}
+
+func (c *linkCutter) track(conn net.Conn, from identifier.FailureDomain, address string) net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tracked := &trackedConn{Conn: conn, cutter: c}
+	c.conns[tracked] = domainPair{from, c.domains[address]}
+	return tracked
+}
+
+func (c *linkCutter) cut(a, b identifier.FailureDomain) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts[domainPair{a, b}] = struct{}{}
+	c.cuts[domainPair{b, a}] = struct{}{}
+	for conn, pair := range c.conns {
+		if _, cut := c.cuts[pair]; cut {
+			_ = conn.(*trackedConn).Conn.Close() // both ends see the loss
+		}
+	}
+}
+
+func (c *linkCutter) heal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.cuts)
+}
+
+// trackedConn is a connection that a linkCutter can cut.
+type trackedConn struct {
+	net.Conn
+	cutter *linkCutter
+}
+
+// Close closes the connection and forgets it.
+func (t *trackedConn) Close() error {
+	t.cutter.mu.Lock()
+	delete(t.cutter.conns, t)
+	t.cutter.mu.Unlock()
+	return t.Conn.Close()
+}
--- /dev/null
+++ b/internal/systemrunner/system.go
@@ -0,0 +1,218 @@
+// Package systemrunner runs a whole system in one process on loopback: the
+// stand-ins of the platform and of backend servers, and entry VMs in several
+// failure domains.
+package systemrunner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+	"github.com/peppertrack/peppertrack/internal/runner"
+	"github.com/peppertrack/peppertrack/internal/settingsloader"
+	"github.com/peppertrack/peppertrack/internal/standin/backendserver"
+	"github.com/peppertrack/peppertrack/internal/standin/platformserver"
+)
+
+// System is a running system.
+type System struct {
+	opts     Options
+	platform *platformserver.Server
+	url      string
+	fleet    *backendserver.Fleet
+	group    errgroup.Group
+
+	mu      sync.Mutex
+	runners map[identifier.VMID]*runner.Runner
+	links   *linkCutter
+}
+
+// Start starts a System. It serves until Close.
+func Start(opts Options) (s *System, err error) {
+	defer func() { err = errors.Wrap(err, "starting the system") }()
+	s = &System{opts: opts, runners: make(map[identifier.VMID]*runner.Runner), links: newLinkCutter()}
+	if err := s.startPlatform(); err != nil {
+		return nil, err
+	}
+	if err := s.startFleet(); err != nil {
+		return nil, errors.CombineErrors(err, s.Close())
+	}
+	for _, domain := range opts.FailureDomains {
+		for n := range opts.VMsPerDomain {
+			if err := s.StartVM(vmName(domain, n), domain); err != nil {
+				return nil, errors.CombineErrors(err, s.Close())
+			}
+		}
+	}
+	return s, nil
+}
+
+func vmName(domain identifier.FailureDomain, n int) identifier.VMID {
+	return identifier.VMID(fmt.Sprintf("%s-%d", domain, n+1))
+}
+
+func (s *System) startPlatform() error {
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return err
+	}
+	s.platform = platformserver.New(platformserver.Options{})
+	s.url = "http://" + l.Addr().String()
+	s.group.Go(func() error { return s.platform.Serve(l) })
+	return nil
+}
+
+func (s *System) startFleet() (err error) {
+	s.fleet, err = backendserver.NewFleet(backendserver.Options{
+		Count:          s.opts.BackendServers,
+		FailureDomains: s.opts.FailureDomains,
+		Slots:          s.opts.SlotsPerServer,
+		Registrar:      s.platform.Memory(),
+		Logger:         s.opts.Logger,
+	})
+	return err
+}
+
+// StartVM starts an entry VM, or a later incarnation of one that has ended.
+func (s *System) StartVM(vm identifier.VMID, domain identifier.FailureDomain) (err error) {
+	defer func() { err = errors.Wrapf(err, "starting entry VM %s", vm) }()
+	r, err := runner.Start(runner.Options{
+		Settings: s.settings(vm, domain),
+		Logger:   s.opts.Logger,
+		Profiles: s.opts.Profiles,
+		Dial:     s.links.dialer(domain),
+	})
+	if err != nil {
+		return err
+	}
+	_, _, peers := r.Addresses()
+	s.links.place(peers.String(), domain)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runners[vm] = r
+	return nil
+}
+
+func (s *System) settings(vm identifier.VMID, domain identifier.FailureDomain) settingsloader.Settings {
+	settings := settingsloader.Default()
+	settings.VM = vm
+	settings.FailureDomain = domain
+	settings.FailureDomains = s.opts.FailureDomains
+	settings.Listen = settingsloader.Listen{Callers: anyPort, Operators: anyPort, Peers: anyPort}
+	settings.Peers = s.peerAddresses()
+	settings.Platform.URL = s.url
+	settings.Callers.RequireTokens = false
+	if s.opts.AdjustVMSettings != nil {
+		s.opts.AdjustVMSettings(&settings)
+	}
+	return settings
+}
+
+func (s *System) peerAddresses() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var addresses []string
+	for _, r := range s.runners {
+		_, _, peers := r.Addresses()
+		addresses = append(addresses, peers.String())
+	}
+	return addresses
+}
+
+// StopVM ends an entry VM: gracefully within the context, or at once when it is done.
+func (s *System) StopVM(ctx context.Context, vm identifier.VMID) error {
+	s.mu.Lock()
+	r := s.runners[vm]
+	delete(s.runners, vm)
+	s.mu.Unlock()
+	if r == nil {
+		return errors.Newf("no entry VM %s runs", vm)
+	}
+	return r.Shutdown(ctx)
+}
+
+// Cut cuts the links between two failure domains, in both directions.
+func (s *System) Cut(a, b identifier.FailureDomain) { s.links.cut(a, b) }
+
+// Heal ends all cuts.
+func (s *System) Heal() { s.links.heal() }
+
+// Callers returns the addresses of the callers' API, by entry VM.
+func (s *System) Callers() map[identifier.VMID]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make(map[identifier.VMID]string, len(s.runners))
+	for vm, r := range s.runners {
+		callers, _, _ := r.Addresses()
+		addresses[vm] = callers.String()
+	}
+	return addresses
+}
+
+// Operators returns the addresses of the operators' API, by entry VM.
+func (s *System) Operators() map[identifier.VMID]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make(map[identifier.VMID]string, len(s.runners))
+	for vm, r := range s.runners {
+		_, operators, _ := r.Addresses()
+		addresses[vm] = operators.String()
+	}
+	return addresses
+}
+
+// Platform returns the platform's stand-in, whose faults can be set.
+func (s *System) Platform() *platformcaller.Memory { return s.platform.Memory() }
+
+// Fleet returns the backend servers, whose faults can be set.
+func (s *System) Fleet() *backendserver.Fleet { return s.fleet }
+
+// readyPollInterval is the time between two looks at the entry VMs' readiness.
+const readyPollInterval = 10 * time.Millisecond
+
+// AwaitReady waits until every entry VM takes new requests.
+func (s *System) AwaitReady(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "waiting for the entry VMs") }()
+	for !s.ready() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyPollInterval):
+		}
+	}
+	return nil
+}
+
+func (s *System) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.runners {
+		if !r.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends the system and waits for it.
+func (s *System) Close() (err error) {
+	s.mu.Lock()
+	runners := s.runners
+	s.runners = make(map[identifier.VMID]*runner.Runner)
+	s.mu.Unlock()
+	for _, r := range runners {
+		err = errors.CombineErrors(err, r.Close())
+	}
+	if s.fleet != nil {
+		err = errors.CombineErrors(err, s.fleet.Close())
+	}
+	err = errors.CombineErrors(err, s.platform.Close())
+	return errors.CombineErrors(err, s.group.Wait())
+}
