feat(experimenter): compare placement policies in scenarios

Cause: a policy has to be compared with its baselines on one seeded workload, also while backend servers and entry VMs fail.

Each row gives the floor: the p99 of one central queue without messages, since the offered load brings queueing by itself.

Conclusion: tests run a small local system under two policies without a violation; the scenarios were not measured yet.

--- a/cmd/pepperstand/internal/cmd/script_test.go
+++ b/cmd/pepperstand/internal/cmd/script_test.go
@@ -14,7 +14,11 @@
 	})
 }
 
-// TestScripts runs each script in testdata/scripts.
+// TestScripts runs each script in testdata/scripts. A script's command "system
+// SCENARIO" runs a system in this process.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata/scripts"})
+	testscript.Run(t, testscript.Params{
+		Dir:  "testdata/scripts",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"system": systemCmd},
+	})
 }
--- /dev/null
+++ b/internal/experimenter/drysystem.go
@@ -0,0 +1,33 @@
+package experimenter
+
+import (
+	"context"
+
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+// Dry opens systems that don't exist: a scenario's faults only enter the
+// journal, and no job is sent.
+type Dry struct{}
+
+type drySystem struct{}
+
+// Open implements Opener.
+func (Dry) Open(context.Context, Scenario, profileparser.Policy) (System, error) {
+	return drySystem{}, nil
+}
+
+// EntryVMs implements System. There are none.
+func (drySystem) EntryVMs() []string { return nil }
+
+// BackendControl implements System. There is none.
+func (drySystem) BackendControl() string { return "" }
+
+// Shared implements System.
+func (drySystem) Shared() bool { return true }
+
+// Inject implements System.
+func (drySystem) Inject(context.Context, Fault) error { return nil }
+
+// Close implements System.
+func (drySystem) Close() error { return nil }
--- /dev/null
+++ b/internal/experimenter/experiment.go
@@ -0,0 +1,116 @@
+package experimenter
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/peppertrack/peppertrack/internal/loader"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+// Result is the outcome of one scenario.
+type Result struct {
+	Scenario Scenario `json:"scenario"`
+	Floor    Floor    `json:"floor"`
+	Runs     []Run    `json:"runs"`
+}
+
+// Run is the outcome of a scenario under one policy.
+type Run struct {
+	Policy   profileparser.Policy `json:"policy"`
+	Report   loader.Report        `json:"report"`
+	Journal  []JournalEntry       `json:"journal"`
+	Recovery Recovery             `json:"recovery"`
+	Missed   []string             `json:"missed"` // targets that were not met
+}
+
+// Failed says whether a run of the scenario broke a promise.
+func (r Result) Failed() bool {
+	for _, run := range r.Runs {
+		if run.Report.Failed() {
+			return true
+		}
+	}
+	return false
+}
+
+// Experiment runs the scenario under each of its policies, one after the other.
+func Experiment(ctx context.Context, s Scenario, opener Opener) (result Result, err error) {
+	defer func() { err = errors.Wrapf(err, "scenario %s", s.Name) }()
+	if err := s.Validate(); err != nil {
+		return Result{}, err
+	}
+	result.Scenario = s
+	result.Floor, err = floor(s.Workload, s.Slots())
+	if err != nil {
+		return result, err
+	}
+	for _, policy := range s.Policies {
+		run, err := runPolicy(ctx, s, policy, opener)
+		if err != nil {
+			return result, errors.Wrapf(err, "policy %s", policy)
+		}
+		result.Runs = append(result.Runs, run)
+	}
+	return result, nil
+}
+
+func runPolicy(ctx context.Context, s Scenario, policy profileparser.Policy, opener Opener) (run Run, err error) {
+	system, err := opener.Open(ctx, s, policy)
+	if err != nil {
+		return Run{}, err
+	}
+	defer func() { err = errors.CombineErrors(err, system.Close()) }()
+	if err := wait(ctx, s.System.WarmUp); err != nil {
+		return Run{}, err
+	}
+	recording := newRecordingSystem(system)
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return disturb(groupCtx, recording, s.steps()) })
+	run.Policy = policy
+	if len(system.EntryVMs()) > 0 {
+		run.Report, err = loader.Run(ctx, s.loadOptions(system))
+	}
+	err = errors.CombineErrors(err, group.Wait())
+	run.Journal = recording.entries()
+	run.Recovery = s.recovery(run.Report)
+	run.Missed = s.missed(run)
+	return run, err
+}
+
+func (s Scenario) loadOptions(system System) loader.Options {
+	return loader.Options{
+		Workload:       s.Workload,
+		Slots:          s.Slots(),
+		EntryVMs:       system.EntryVMs(),
+		BackendControl: system.BackendControl(),
+		SharedProcess:  system.Shared(),
+	}
+}
+
+// disturb brings about each fault at its time.
+func disturb(ctx context.Context, system *recordingSystem, steps []step) error {
+	for _, step := range steps {
+		if err := wait(ctx, step.at-time.Since(system.start)); err != nil {
+			return err
+		}
+		if err := system.Inject(ctx, step.fault); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func wait(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
