--- a/internal/claimer/ask.go
+++ b/internal/claimer/ask.go
@@ -141,7 +141,8 @@
 	case !a.sameBody(r.Digest, r.Team):
 		c.deny(a, bodyMismatch())
 	case endingOf(r) != nil:
-		c.denyKept(a, r)
+		kept := *r
+		c.claim(a, &kept) // the witness confirms that no later home has decided otherwise
 	case !c.isGone(r.Runner):
 		c.query(a, r)
 	case r.Kind != peermessenger.NotEnded:
--- a/internal/claimer/claim.go
+++ b/internal/claimer/claim.go
@@ -117,7 +117,7 @@
 	}
 	switch m.Cause {
 	case peermessenger.EpochClosed:
-		c.promise(m.Current)
+		c.promiseTo(from, m.Current)
 	case peermessenger.TableFull:
 		c.deny(p.ask, c.noRoom())
 	case peermessenger.ClaimExpired:
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -152,6 +152,14 @@
 	}
 }
 
+// promiseTo makes the promise on behalf of a member that told the epoch.
+func (c *Claimer) promiseTo(from identifier.Member, epoch identifier.Epoch) {
+	c.promise(epoch)
+	if c.roster == nil || epoch > c.roster.Epoch {
+		c.emit(EpochHeard{From: from, Epoch: epoch})
+	}
+}
+
 func (c *Claimer) adopt(r *enroller.Roster) {
 	if c.roster != nil && r.Epoch <= c.roster.Epoch {
 		return
--- a/internal/claimer/drain.go
+++ b/internal/claimer/drain.go
@@ -13,7 +13,11 @@
 // here. The drain is over when every receiver has acknowledged them and is
 // whole itself, so that nobody needs this VM any more.
 func (c *Claimer) advanceDrain() {
-	if !c.draining || c.drained || c.roster == nil || c.running > 0 {
+	if !c.draining || c.drained || c.running > 0 {
+		return
+	}
+	if c.roster == nil {
+		c.endDrain() // there is nothing to hand over
 		return
 	}
 	if !c.drain.queued {
@@ -24,11 +28,15 @@
 		return // the roster does not show yet that this VM leaves
 	}
 	if c.acting() && c.allReceived() {
-		c.drained = true
-		c.emit(Drained{})
+		c.endDrain()
 	}
 }
 
+func (c *Claimer) endDrain() {
+	c.drained = true
+	c.emit(Drained{})
+}
+
 func (c *Claimer) queueAll() {
 	for s := range c.records.shards {
 		for _, id := range c.records.idsAfter(Shard(s), "") {
--- a/internal/claimer/effects.go
+++ b/internal/claimer/effects.go
@@ -48,6 +48,13 @@
 // epoch. The roster is told, so that it can forget earlier epochs.
 type RecordsWhole struct{ Epoch identifier.Epoch }
 
+// EpochHeard says that a member knows of a later epoch than this VM. The roster
+// has to be asked for.
+type EpochHeard struct {
+	From  identifier.Member
+	Epoch identifier.Epoch
+}
+
 // Drained says that all records were handed over.
 type Drained struct{}
 
@@ -57,4 +64,5 @@
 func (ClaimDenied) isEffect()  {}
 func (ClaimForward) isEffect() {}
 func (RecordsWhole) isEffect() {}
+func (EpochHeard) isEffect()   {}
 func (Drained) isEffect()      {}
--- a/internal/claimer/fetch.go
+++ b/internal/claimer/fetch.go
@@ -56,7 +56,7 @@
 
 // fetchRecords is the duty of a member of an earlier pair.
 func (c *Claimer) fetchRecords(from identifier.Member, m peermessenger.FetchRecords) {
-	c.promise(m.Epoch)
+	c.promiseTo(from, m.Epoch)
 	if m.From.Shard >= ShardCount {
 		return
 	}
@@ -124,7 +124,7 @@
 }
 
 func (c *Claimer) recordPage(from identifier.Member, m peermessenger.RecordPage) {
-	c.promise(m.Current)
+	c.promiseTo(from, m.Current)
 	f := c.fetches[from]
 	if f == nil || m.Epoch != f.request.Epoch || m.Shards != f.request.Shards || m.From != f.request.From {
 		return
--- a/internal/claimer/handover.go
+++ b/internal/claimer/handover.go
@@ -149,7 +149,7 @@
 }
 
 func (c *Claimer) recordsHanded(from identifier.Member, m peermessenger.RecordsHanded) {
-	c.promise(m.Epoch)
+	c.promiseTo(from, m.Epoch)
 	o, ok := c.outboxes[from]
 	if !ok || !o.open || m.Number != o.number {
 		return
--- a/internal/enroller/change.go
+++ b/internal/enroller/change.go
@@ -10,20 +10,44 @@
 // change begins a change of the roster if one is wanted: it reads the store's
 // value, on which rosterRead then decides.
 func (e *Enroller) change(now time.Time) []Effect {
-	if e.busy || now.Before(e.retryAt) {
+	if e.busy || now.Before(e.retryAt) || e.awaitsListing(now) {
 		return nil
 	}
-	if e.roster != nil {
-		if _, ok := e.proposal(now, e.roster); !ok {
-			return nil
-		}
-	} else if e.leaving {
+	if !e.wantsRead(now) {
 		return nil
 	}
 	e.busy = true
 	return []Effect{ReadRoster{}}
 }
 
+// wantsRead reports whether the store has to be read: there is no roster, the
+// one in force is not the latest or may not be, or it is to be changed.
+func (e *Enroller) wantsRead(now time.Time) bool {
+	if e.roster == nil {
+		return !e.leaving
+	}
+	if e.latest > e.roster.Epoch || e.alone(now) {
+		return true
+	}
+	_, ok := e.proposal(now, e.roster)
+	return ok
+}
+
+// alone reports whether all other members have been silent for long. They may
+// have been replaced by members that this one does not know.
+func (e *Enroller) alone(now time.Time) bool {
+	others := len(e.heard) - 1
+	return others > 0 && len(e.silentSince(now.Add(-e.opts.SuspectAfter))) >= others
+}
+
+// awaitsListing reports whether this member waits, for some time after its boot,
+// for a list that shows its VM. Its entry then lets others prove later that the
+// VM was deleted, also those who have never seen it listed. Where the platform
+// does not number its lists there is nothing to wait for.
+func (e *Enroller) awaitsListing(now time.Time) bool {
+	return e.list.revision > 0 && !e.list.listed[e.opts.Self.VM] && now.Sub(e.bootedAt) < e.opts.ListWait
+}
+
 func (e *Enroller) rosterRead(now time.Time, event RosterRead) (effects []Effect) {
 	e.busy = false
 	e.failures = 0
@@ -42,6 +66,7 @@
 	}
 	next, ok := e.proposal(now, e.roster)
 	if !ok {
+		e.retryAt = now.Add(e.opts.RetryMax)
 		return effects
 	}
 	return append(effects, e.swap(event.Revision, next)...)
@@ -69,7 +94,11 @@
 }
 
 func (e *Enroller) entry() RosterMember {
-	return RosterMember{Member: e.opts.Self, Address: e.opts.Address}
+	entry := RosterMember{Member: e.opts.Self, Address: e.opts.Address}
+	if e.list.listed[e.opts.Self.VM] {
+		entry.Listed = e.list.revision
+	}
+	return entry
 }
 
 // proposal returns the roster that should follow r, if any should.
@@ -145,11 +174,19 @@
 }
 
 // allWhole reports whether every member of r that holds claims has told that it
-// is whole in the epoch of r.
+// is whole in the epoch of r, and that there is such a member.
 func (e *Enroller) allWhole(r *Roster) bool {
-	return !slices.ContainsFunc(r.Members, func(entry RosterMember) bool {
-		return !entry.Leaving && e.whole[entry.Member] < r.Epoch
-	})
+	holders := 0
+	for _, entry := range r.Members {
+		if entry.Leaving {
+			continue
+		}
+		holders++
+		if e.whole[entry.Member] < r.Epoch {
+			return false
+		}
+	}
+	return holders > 0
 }
 
 // silentSince returns the members of the roster that were not heard since t.
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -18,6 +18,7 @@
 	RetryBase         time.Duration // before the store is asked again after a failure
 	RetryMax          time.Duration
 	GoneAfter         time.Duration // of absence from the platform's list before a VM counts as deleted
+	ListWait          time.Duration // for the platform's list to show this VM before it joins
 	Rand              *rand.Rand    // spreads the attempts of several members
 }
 
@@ -28,6 +29,7 @@
 	DefaultRetryBase         = 200 * time.Millisecond
 	DefaultRetryMax          = 5 * time.Second
 	DefaultGoneAfter         = 30 * time.Second
+	DefaultListWait          = 5 * time.Second
 )
 
 // Enroller decides about the roster of one failure domain. It is owned by one
@@ -40,13 +42,15 @@
 	failures int     // of the store, in a row
 	retryAt  time.Time
 	leaving  bool
+	latest   identifier.Epoch // heard of
 
 	lastTick      time.Time
 	lastHeartbeat time.Time
 	heard         map[identifier.Member]time.Time        // when a member of the roster was last heard
 	whole         map[identifier.Member]identifier.Epoch // as told in heartbeats
 	list          vmList
-	fates         map[identifier.Member]bool // of members seen on rosters; true once reported as MemberGone
+	fates         map[identifier.Member]fate // of members seen on rosters
+	bootedAt      time.Time                  // when the first event came
 }
 
 // New returns an Enroller.
@@ -56,6 +60,7 @@
 	setDefault(&opts.RetryBase, DefaultRetryBase)
 	setDefault(&opts.RetryMax, DefaultRetryMax)
 	setDefault(&opts.GoneAfter, DefaultGoneAfter)
+	setDefault(&opts.ListWait, DefaultListWait)
 	if opts.Rand == nil {
 		opts.Rand = rand.New(rand.NewPCG(uint64(opts.Self.Incarnation), 0))
 	}
@@ -64,7 +69,7 @@
 		heard: map[identifier.Member]time.Time{},
 		whole: map[identifier.Member]identifier.Epoch{},
 		list:  newVMList(),
-		fates: map[identifier.Member]bool{},
+		fates: map[identifier.Member]fate{},
 	}
 }
 
@@ -79,6 +84,9 @@
 
 // Step reacts to one event.
 func (e *Enroller) Step(now time.Time, event Event) (effects []Effect) {
+	if e.bootedAt.IsZero() {
+		e.bootedAt = now
+	}
 	switch event := event.(type) {
 	case RosterRead:
 		return e.rosterRead(now, event)
@@ -96,6 +104,8 @@
 		return e.change(now)
 	case RecordsWhole:
 		e.whole[e.opts.Self] = max(e.whole[e.opts.Self], event.Epoch)
+	case EpochHeard:
+		return e.epochHeard(event)
 	case VMListRead:
 		e.list.read(now, event)
 	case Tick:
@@ -149,6 +159,13 @@
 func (e *Enroller) peerHeard(now time.Time, m identifier.Member) {
 	if _, ok := e.heard[m]; ok {
 		e.heard[m] = now
+		return
+	}
+	for earlier, f := range e.fates {
+		if earlier.VM == m.VM && earlier.Incarnation < m.Incarnation {
+			f.replaced = true
+			e.fates[earlier] = f
+		}
 	}
 }
 
@@ -169,13 +186,19 @@
 	if _, ok := e.heard[from]; ok {
 		e.whole[from] = max(e.whole[from], m.Whole)
 	}
-	switch {
-	case m.Epoch > e.epoch():
-		return []Effect{Send{To: from, Message: peermessenger.RosterRequest{}}}
-	case m.Epoch < e.epoch():
+	if m.Epoch < e.epoch() {
 		return []Effect{Send{To: from, Message: e.heartbeat()}}
 	}
-	return nil
+	return e.epochHeard(EpochHeard{From: from, Epoch: m.Epoch})
+}
+
+// epochHeard asks a member for its roster if that is later than the one in force.
+func (e *Enroller) epochHeard(event EpochHeard) []Effect {
+	if event.Epoch <= e.epoch() {
+		return nil
+	}
+	e.latest = max(e.latest, event.Epoch)
+	return []Effect{Send{To: event.From, Message: peermessenger.RosterRequest{}}}
 }
 
 func (e *Enroller) rosterRequested(from identifier.Member) []Effect {
--- a/internal/enroller/events.go
+++ b/internal/enroller/events.go
@@ -44,6 +44,12 @@
 // RecordsWhole says that this member holds all records of its shards in an epoch.
 type RecordsWhole struct{ Epoch identifier.Epoch }
 
+// EpochHeard says that a member knows of an epoch.
+type EpochHeard struct {
+	From  identifier.Member
+	Epoch identifier.Epoch
+}
+
 // VMListRead hands over the platform's list of live VMs.
 type VMListRead struct {
 	Revision Revision // lists of lower revisions than one already read are ignored
@@ -62,5 +68,6 @@
 func (PeerReceived) isEvent()   {}
 func (LeaveRequested) isEvent() {}
 func (RecordsWhole) isEvent()   {}
+func (EpochHeard) isEvent()     {}
 func (VMListRead) isEvent()     {}
 func (Tick) isEvent()           {}
--- a/internal/enroller/fates.go
+++ b/internal/enroller/fates.go
@@ -2,37 +2,42 @@
 
 import (
 	"time"
-
-	"github.com/peppertrack/peppertrack/internal/identifier"
 )
 
 // maxFollowed bounds the members whose end is watched for.
 const maxFollowed = 4096
 
+// fate is what is known of a member seen on a roster.
+type fate struct {
+	gone     bool     // its process has ended, and this was reported
+	replaced bool     // a later process on its VM was heard
+	listed   Revision // of a platform's list that showed its VM; 0: none is known
+}
+
 // follow watches for the end of the members of a roster and its history.
 func (e *Enroller) follow(r *Roster) {
 	if len(e.fates) > maxFollowed {
 		e.forgetGone()
 	}
 	for _, entry := range r.Members {
-		e.followMember(entry.Member)
+		e.followMember(entry)
 	}
 	for _, past := range r.History {
 		for _, entry := range past.Members {
-			e.followMember(entry.Member)
+			e.followMember(entry)
 		}
 	}
 }
 
-func (e *Enroller) followMember(m identifier.Member) {
-	if _, ok := e.fates[m]; !ok && len(e.fates) < maxFollowed {
-		e.fates[m] = false
+func (e *Enroller) followMember(entry RosterMember) {
+	if _, ok := e.fates[entry.Member]; !ok && len(e.fates) < maxFollowed {
+		e.fates[entry.Member] = fate{listed: entry.Listed}
 	}
 }
 
 func (e *Enroller) forgetGone() {
-	for m, gone := range e.fates {
-		if gone {
+	for m, f := range e.fates {
+		if f.gone {
 			delete(e.fates, m)
 		}
 	}
@@ -44,11 +49,14 @@
 		return nil
 	}
 	for _, m := range sortedMembers(e.fates) {
-		if e.fates[m] || m == e.opts.Self {
+		f := e.fates[m]
+		if f.gone || m == e.opts.Self {
 			continue
 		}
-		if e.roster.Replaced(m) || e.list.deleted(now, m.VM, e.opts.GoneAfter) {
-			e.fates[m] = true
+		e.list.shown(now, m.VM, f.listed)
+		if f.replaced || e.roster.Replaced(m) || e.list.deleted(now, m.VM, e.opts.GoneAfter) {
+			f.gone = true
+			e.fates[m] = f
 			effects = append(effects, MemberGone{Member: m})
 		}
 	}
--- a/internal/enroller/vmlist.go
+++ b/internal/enroller/vmlist.go
@@ -33,13 +33,27 @@
 		delete(l.missing, vm)
 	}
 	for vm := range l.listed {
-		if _, ok := l.missing[vm]; !present[vm] && !ok && len(l.missing) < maxListedVMs {
-			l.missing[vm] = now
+		if !present[vm] {
+			l.miss(now, vm)
 		}
 	}
 	l.listed = present
 }
 
+// shown notes that a list of the given revision has shown a VM, as the roster
+// tells; 0 tells nothing.
+func (l *vmList) shown(now time.Time, vm identifier.VMID, revision Revision) {
+	if revision > 0 && revision < l.revision && !l.listed[vm] {
+		l.miss(now, vm)
+	}
+}
+
+func (l *vmList) miss(now time.Time, vm identifier.VMID) {
+	if _, ok := l.missing[vm]; !ok && len(l.missing) < maxListedVMs {
+		l.missing[vm] = now
+	}
+}
+
 func (l *vmList) deleted(now time.Time, vm identifier.VMID, after time.Duration) bool {
 	since, ok := l.missing[vm]
 	return ok && now.Sub(since) >= after
