feat(placer): reserve slots with their owners

Cause: entry VMs share slots without shared memory; the baselines run into full backend servers. Change: each backend server's slots have one owner by rendezvous hash, which grants them to the others in batches; reports state levels, so that lost, repeated and reordered messages heal; news of leaving servers spread.

--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -28,6 +28,10 @@
 	101: reflect.TypeFor[AttachJob](),
 	102: reflect.TypeFor[CancelJob](),
 	103: reflect.TypeFor[JobReply](),
+
+	400: reflect.TypeFor[SlotAsk](),
+	401: reflect.TypeFor[SlotGrant](),
+	402: reflect.TypeFor[BackendsLeaving](),
 	110: reflect.TypeFor[PeerTable](),
 
 	200: reflect.TypeFor[RecordClaim](),
--- a/internal/placer/backendset.go
+++ b/internal/placer/backendset.go
@@ -4,7 +4,11 @@
 type setKind int
 
 const (
-	usableSet setKind = iota // placeable on the local view
+	usableSet  setKind = iota // placeable on the local view
+	ownedSet                  // owned by this VM, with a free slot
+	heldSet                   // with a slot that this VM was granted and doesn't use
+	unownedSet                // without an owner that can be reached
+	holdingSet                // of another owner, with slots that this VM holds
 	setKinds
 )
 
--- a/internal/placer/connectionshare.go
+++ b/internal/placer/connectionshare.go
@@ -48,6 +48,11 @@
 // backend server: its failure domain's entry VMs come first, then the others by
 // rendezvous hash.
 func (p *Placer) ranksWithin(b *backendState, n int) bool {
+	return slices.Contains(p.ranked(b, n), p.opts.Self)
+}
+
+// ranked returns the first n VMs that connect to the backend server.
+func (p *Placer) ranked(b *backendState, n int) []identifier.Member {
 	ranked := slices.Clone(p.members)
 	slices.SortFunc(ranked, func(x, y DomainMember) int {
 		if (x.Domain == b.Domain) != (y.Domain == b.Domain) {
@@ -58,7 +63,11 @@
 		}
 		return cmp.Compare(rendezvous(y.Member, b.ID), rendezvous(x.Member, b.ID))
 	})
-	return slices.ContainsFunc(ranked[:min(n, len(ranked))], func(m DomainMember) bool { return m.Member == p.opts.Self })
+	first := make([]identifier.Member, min(n, len(ranked)))
+	for i := range first {
+		first[i] = ranked[i].Member
+	}
+	return first
 }
 
 // rendezvous is the weight of an entry VM for a backend server.
--- /dev/null
+++ b/internal/placer/fleet_test.go
@@ -0,0 +1,296 @@
+package placer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+const (
+	testTick    = 2 * time.Millisecond
+	testLatency = 700 * time.Microsecond
+)
+
+// action is something that a fleet does at a time.
+type action struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int { return len(a) }
+
+func (a agenda) Less(i, k int) bool {
+	if a[i].at.Equal(a[k].at) {
+		return a[i].order < a[k].order
+	}
+	return a[i].at.Before(a[k].at)
+}
+func (a agenda) Swap(i, k int) { a[i], a[k] = a[k], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// fleet joins several placers by a network, and runs jobs on backend servers
+// with exact slots.
+type fleet struct {
+	now      time.Time
+	rand     *rand.Rand
+	jobs     *rand.Rand // of the jobs alone, so that all policies get the same ones
+	agenda   agenda
+	orders   int
+	vms      []*fleetVM
+	members  []DomainMember
+	used     map[identifier.BackendID]int
+	loss     float64 // share of the messages that are lost
+	repeat   float64 // share of the messages that arrive twice
+	jitter   time.Duration
+	backends []Backend
+	longTask time.Duration // of one task in fifty; 0: there is none
+
+	starts, refused, messages int
+	slowdowns                 []float64
+}
+
+type fleetVM struct {
+	fleet   *fleet
+	member  DomainMember
+	placer  *Placer
+	waiting []Want
+	jobs    map[identifier.SubmissionID]*fleetJob
+	dead    bool
+}
+
+type fleetJob struct {
+	arrived time.Time
+	left    int
+	longest time.Duration
+	times   []time.Duration
+}
+
+func newFleet(seed uint64, vms, backends int) *fleet {
+	f := &fleet{now: epoch, rand: rand.New(rand.NewPCG(seed, 2)), jobs: rand.New(rand.NewPCG(seed, 4)), used: make(map[identifier.BackendID]int), backends: testBackends(backends)}
+	for i := range vms {
+		f.members = append(f.members, DomainMember{
+			Member: identifier.Member{VM: identifier.VMID(fmt.Sprint("vm", i)), Incarnation: 1},
+			Domain: identifier.FailureDomain(fmt.Sprint("d", i%3)),
+		})
+	}
+	for _, m := range f.members {
+		f.addVM(m)
+	}
+	return f
+}
+
+func (f *fleet) addVM(m DomainMember) *fleetVM {
+	vm := &fleetVM{fleet: f, member: m, jobs: make(map[identifier.SubmissionID]*fleetJob)}
+	vm.placer = New(Options{Self: m.Member, Domain: m.Domain, Rand: rand.New(rand.NewPCG(f.rand.Uint64(), 3))})
+	vm.placer.SetMembers(f.now, f.members)
+	vm.placer.SetBackends(f.now, f.backends)
+	f.vms = append(f.vms, vm)
+	f.after(time.Duration(f.rand.Int64N(int64(testTick))), vm.tick)
+	return vm
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.orders++
+	heap.Push(&f.agenda, action{at: f.now.Add(d), order: f.orders, do: do})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.agenda) > 0 && !f.agenda[0].at.After(end) {
+		a := heap.Pop(&f.agenda).(action)
+		f.now = a.at
+		a.do()
+	}
+	f.now = end
+}
+
+func (vm *fleetVM) tick() {
+	if vm.dead {
+		return
+	}
+	vm.apply(vm.placer.Step(vm.fleet.now, Tick{}))
+	vm.fleet.after(testTick, vm.tick)
+}
+
+func (vm *fleetVM) step(e Event) {
+	if !vm.dead {
+		vm.apply(vm.placer.Step(vm.fleet.now, e))
+	}
+}
+
+func (vm *fleetVM) apply(effects []Effect) {
+	freed := false
+	for _, e := range effects {
+		switch e := e.(type) {
+		case SlotsFreed:
+			freed = true
+		case Send:
+			vm.fleet.send(vm.member.Member, e)
+		}
+	}
+	if freed && len(vm.waiting) > 0 {
+		vm.place()
+	}
+}
+
+func (f *fleet) send(from identifier.Member, s Send) {
+	f.messages++
+	copies := 1
+	if f.rand.Float64() < f.loss {
+		copies = 0
+	} else if f.rand.Float64() < f.repeat {
+		copies = 2
+	}
+	for range copies {
+		delay := testLatency + time.Duration(f.rand.Int64N(int64(f.jitter)+1))
+		f.after(delay, func() {
+			for _, vm := range f.vms {
+				if vm.member.Member == s.To {
+					vm.step(PeerReceived{From: from, Message: s.Message})
+				}
+			}
+		})
+	}
+}
+
+// submit gives a job to a VM.
+func (vm *fleetVM) submit(name string, times []time.Duration, policy Policy, weighing Weighing) {
+	id := identifier.SubmissionID(name)
+	vm.jobs[id] = &fleetJob{arrived: vm.fleet.now, left: len(times), longest: slices.Max(times), times: times}
+	for i := range times {
+		vm.waiting = append(vm.waiting, Want{
+			Ref:        identifier.TaskRef{Submission: id, Index: identifier.TaskIndex(i)},
+			Millicores: 1000,
+			Policy:     policy,
+			Weighing:   weighing,
+			Since:      vm.fleet.now,
+		})
+	}
+	vm.place()
+}
+
+func (vm *fleetVM) place() {
+	f := vm.fleet
+	placements := vm.placer.Place(f.now, vm.waiting)
+	placed := make(map[identifier.TaskRef]Want, len(placements))
+	i := 0
+	vm.waiting = slices.DeleteFunc(vm.waiting, func(w Want) bool {
+		if i < len(placements) && placements[i].Ref == w.Ref {
+			placed[w.Ref] = w
+			i++
+			return true
+		}
+		return false
+	})
+	for _, p := range placements {
+		f.starts++
+		f.after(testLatency, func() { vm.arrive(p, placed[p.Ref]) })
+	}
+	vm.apply(vm.placer.Step(f.now, Flush{}))
+}
+
+// arrive is the start of a task at its backend server.
+func (vm *fleetVM) arrive(p Placement, w Want) {
+	f := vm.fleet
+	if f.used[p.Backend] >= 8 {
+		f.refused++
+		f.after(testLatency, func() {
+			vm.waiting = append([]Want{w}, vm.waiting...)
+			vm.step(StartRefused{Backend: p.Backend, Ref: p.Ref, Reason: Full})
+		})
+		return
+	}
+	f.used[p.Backend]++
+	d := vm.jobs[p.Ref.Submission].times[p.Ref.Index]
+	f.after(d, func() {
+		f.used[p.Backend]--
+		f.after(testLatency, func() { vm.ended(p, d) })
+	})
+}
+
+func (vm *fleetVM) ended(p Placement, d time.Duration) {
+	j := vm.jobs[p.Ref.Submission]
+	j.left--
+	if j.left == 0 {
+		ideal := j.longest + 2*testLatency
+		vm.fleet.slowdowns = append(vm.fleet.slowdowns, float64(vm.fleet.now.Sub(j.arrived))/float64(ideal))
+		delete(vm.jobs, p.Ref.Submission)
+	}
+	vm.step(TaskEnded{Backend: p.Backend, Ref: p.Ref, Succeeded: true, RunTime: d})
+}
+
+// offer submits jobs at random VMs for a time, at a share of the fleet's slots.
+func (f *fleet) offer(d time.Duration, load float64, most int, policy Policy, weighing Weighing) {
+	const minTasks, minMillis, maxMillis = 10, 50, 1000
+	meanWork := float64(minTasks+most) / 2 * (minMillis + maxMillis) / 2 / 1000
+	rate := load * float64(8*len(f.backends)) / meanWork
+	end := f.now.Add(d)
+	n := 0
+	var arrive func()
+	arrive = func() {
+		if f.now.After(end) {
+			return
+		}
+		n++
+		times := make([]time.Duration, minTasks+f.jobs.IntN(most-minTasks+1))
+		for i := range times {
+			times[i] = time.Duration(minMillis+f.jobs.IntN(maxMillis-minMillis+1)) * time.Millisecond
+			if f.longTask > 0 && f.jobs.IntN(50) == 0 {
+				times[i] = f.longTask
+			}
+		}
+		vm := f.vms[f.jobs.IntN(len(f.vms))]
+		if !vm.dead {
+			vm.submit(fmt.Sprint("job", n), times, policy, weighing)
+		}
+		f.after(time.Duration(f.jobs.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	f.after(0, arrive)
+}
+
+func (f *fleet) quantile(q float64) float64 {
+	if len(f.slowdowns) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(f.slowdowns)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// replace puts a new incarnation in the place of a dead VM and tells all others.
+func (f *fleet) replace(gone *fleetVM) {
+	for i := range f.members {
+		if f.members[i] == gone.member {
+			f.members[i].Member.Incarnation++
+			f.addVM(f.members[i])
+		}
+	}
+	for _, vm := range f.vms {
+		vm.placer.SetMembers(f.now, f.members)
+	}
+}
+
+// settle runs until all jobs have ended, for a minute at most, and then until
+// what was lent must have been given back.
+func (f *fleet) settle() {
+	f.run(2 * time.Second)
+	for range 120 {
+		f.run(500 * time.Millisecond)
+		if !slices.ContainsFunc(f.vms, func(vm *fleetVM) bool { return !vm.dead && len(vm.jobs) > 0 }) {
+			break
+		}
+	}
+	f.run(reportTimeout + grantTimeout)
+}
--- /dev/null
+++ b/internal/placer/fleettrial_test.go
@@ -0,0 +1,33 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkPolicies compares the policies on the same seeded jobs.
+func BenchmarkPolicies(b *testing.B) {
+	for _, load := range []float64{0.3, 0.7, 0.9} {
+		for _, policy := range []Policy{Random{}, TwoChoices{}, Reserve{}} {
+			for _, weighing := range []Weighing{WeighResponse, WeighMessages} {
+				if _, ok := policy.(Reserve); !ok && weighing == WeighMessages {
+					continue
+				}
+				b.Run(fmt.Sprintf("load=%v/policy=%T/weighing=%s", load, policy, weighing), func(b *testing.B) {
+					for range b.N {
+						f := newFleet(1, 7, 50)
+						f.run(time.Second)
+						f.offer(time.Minute, load, 100, policy, weighing)
+						f.run(70 * time.Second)
+						b.ReportMetric(f.quantile(0.5), "p50")
+						b.ReportMetric(f.quantile(0.99), "p99")
+						b.ReportMetric(float64(f.refused)/float64(f.starts), "refused/start")
+						b.ReportMetric(float64(f.messages)/float64(f.starts), "messages/start")
+						b.ReportMetric(float64(len(f.slowdowns)), "jobs")
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -19,15 +19,18 @@
 // order. The others stay with the caller, who calls again after SlotsFreed.
 func (p *Placer) Place(now time.Time, wants []Want) []Placement {
 	s := search{now: now}
+	p.demand = demand{}
 	var placements []Placement
 	for i := range wants {
 		w := &wants[i]
 		if s.missed(w) {
+			p.leaveOver(w)
 			continue
 		}
 		b := p.choose(&s, w)
 		if b == nil {
 			s.miss(w)
+			p.leaveOver(w)
 			continue
 		}
 		p.take(now, b, w)
@@ -37,18 +40,59 @@
 }
 
 func (p *Placer) choose(s *search, w *Want) *backendState {
-	policy := w.Policy
-	if policy == nil {
-		policy = p.opts.Default
-	}
-	switch policy.(type) {
+	switch p.policy(w).(type) {
 	case Random:
 		return p.draw(&p.usable, w)
+	case Reserve:
+		p.reserving = true
+		return p.chooseReserved(s, w)
 	default:
 		return p.chooseTwo(&p.usable, w)
 	}
 }
 
+func (p *Placer) policy(w *Want) Policy {
+	if w.Policy == nil {
+		return p.opts.Default
+	}
+	return w.Policy
+}
+
+// leaveOver counts a task without a place.
+func (p *Placer) leaveOver(w *Want) {
+	if _, ok := p.policy(w).(Reserve); !ok {
+		return
+	}
+	p.demand.add(w)
+	p.pace = messagesPace
+	if p.demand.response > 0 {
+		p.pace = responsePace
+	}
+}
+
+// chooseReserved returns a backend server with a slot that this VM owns or was
+// granted, or else one without an owner that can be reached.
+func (p *Placer) chooseReserved(s *search, w *Want) *backendState {
+	if b := p.chooseTwo(&p.owned, w); b != nil {
+		return b
+	}
+	if b := p.chooseHeld(s.now, w); b != nil {
+		return b
+	}
+	return p.chooseTwo(&p.unowned, w)
+}
+
+// chooseHeld returns a backend server of which this VM was granted a slot that
+// it may still use.
+func (p *Placer) chooseHeld(now time.Time, w *Want) *backendState {
+	for _, b := range p.held.items {
+		if b.spare(now) && b.takes(w) {
+			return b
+		}
+	}
+	return nil
+}
+
 // chooseTwo returns the freer one of two drawn backend servers.
 func (p *Placer) chooseTwo(set *backendSet, w *Want) *backendState {
 	a := p.draw(set, w)
@@ -97,7 +141,7 @@
 func (s *search) missed(w *Want) bool {
 	for i := range s.misses {
 		m := &s.misses[i]
-		if m.Policy == w.Policy && w.Millicores >= m.Millicores && w.Memory >= m.Memory && w.Accelerators >= m.Accelerators {
+		if m.Policy == w.Policy && w.covers(m) {
 			return true
 		}
 	}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -29,7 +29,21 @@
 	backends     map[identifier.BackendID]*backendState
 	members      []DomainMember
 	usable       backendSet
-	blocked      []*backendState
+	owned        backendSet
+	held         backendSet
+	unowned      backendSet
+	ownedFree    identifier.Slots // free slots of the owned backend servers
+	blocked      []*backendState  // closed for a time
+	self         *peer
+	peers        []*peer // the other VMs, in the order of their names
+	byMember     map[identifier.Member]*peer
+	demand       demand
+	pace         pace
+	reserving    bool                                         // has placed by Reserve
+	openSlots    identifier.Slots                             // of the backend servers that take new work
+	shapes       []Want                                       // the distinct sizes of the listed backend servers
+	leavingNews  []identifier.BackendID                       // for all peers
+	leavingRelay []identifier.BackendID                       // for the peers of this failure domain
 	accelerators map[identifier.TaskRef]declarer.Accelerators // of placed tasks that use any
 }
 
@@ -42,6 +56,12 @@
 		opts:         opts,
 		backends:     make(map[identifier.BackendID]*backendState),
 		usable:       backendSet{kind: usableSet},
+		owned:        backendSet{kind: ownedSet},
+		held:         backendSet{kind: heldSet},
+		unowned:      backendSet{kind: unownedSet},
+		self:         newPeer(DomainMember{Member: opts.Self, Domain: opts.Domain}),
+		byMember:     make(map[identifier.Member]*peer),
+		pace:         messagesPace,
 		accelerators: make(map[identifier.TaskRef]declarer.Accelerators),
 	}
 }
@@ -51,7 +71,9 @@
 	for _, b := range p.backends {
 		b.listed = false
 	}
+	p.shapes = nil
 	for _, listed := range backends {
+		p.addShape(listed)
 		b, ok := p.backends[listed.ID]
 		if !ok {
 			b = newBackendState(listed)
@@ -59,46 +81,35 @@
 		}
 		b.Backend = listed
 		b.listed = true
-		b.connections = p.connectionShare(b)
 	}
+	p.assignOwners(now)
 	for _, id := range p.sortedBackends() {
-		b := p.backends[id]
-		p.refresh(now, b)
-		p.forget(b)
+		p.forget(p.backends[id])
 	}
 }
 
 // SetMembers replaces the list of the live entry VMs of all failure domains.
 func (p *Placer) SetMembers(now time.Time, members []DomainMember) {
 	p.members = slices.Clone(members)
-	for _, id := range p.sortedBackends() {
-		b := p.backends[id]
-		b.connections = p.connectionShare(b)
-		p.refresh(now, b)
-	}
+	p.setPeers(now, members)
+	p.assignOwners(now)
 }
 
 // Fits reports whether some known backend server, when idle, could hold the task.
 func (p *Placer) Fits(w Want) bool {
-	for _, b := range p.backends {
-		if b.listed && b.holds(&w) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.shapes, func(shape Want) bool { return shape.covers(&w) })
 }
 
-// Slots returns the number of slots of the backend servers that take new work.
-func (p *Placer) Slots(now time.Time) identifier.Slots {
-	var total identifier.Slots
-	for _, b := range p.backends {
-		if b.open(now) {
-			total += b.Slots
-		}
+func (p *Placer) addShape(b Backend) {
+	shape := Want{Millicores: b.Millicores, Memory: b.Memory, Accelerators: b.Accelerators}
+	if !slices.Contains(p.shapes, shape) {
+		p.shapes = append(p.shapes, shape)
 	}
-	return total
 }
 
+// Slots returns the number of slots of the backend servers that take new work.
+func (p *Placer) Slots(_ time.Time) identifier.Slots { return p.openSlots }
+
 func (p *Placer) sortedBackends() []identifier.BackendID {
 	ids := make([]identifier.BackendID, 0, len(p.backends))
 	for id := range p.backends {
@@ -110,12 +121,44 @@
 
 // refresh brings the sets up to date with a backend server's state.
 func (p *Placer) refresh(now time.Time, b *backendState) {
-	p.usable.set(b, b.usable(now))
+	mine := b.owner == p.self
+	usable := b.usable(now)
+	free := identifier.Slots(0)
+	if mine {
+		free = b.lendable(now)
+	}
+	p.ownedFree += free - b.counted
+	b.counted = free
+	p.countOpen(b, b.open(now))
+	p.usable.set(b, usable)
+	p.owned.set(b, free > 0)
+	p.held.set(b, !mine && b.owner != nil && b.held > b.running)
+	p.unowned.set(b, usable && (b.owner == nil || b.owner.lost))
+	if b.owner != nil && !mine {
+		b.owner.lender.holdings.set(b, b.inUse() > 0)
+	}
+}
+
+func (p *Placer) countOpen(b *backendState, open bool) {
+	slots := identifier.Slots(0)
+	if open {
+		slots = b.Slots
+	}
+	p.openSlots += slots - b.countedOpen
+	b.countedOpen = slots
 }
 
 // forget drops a backend server that is no longer listed and runs nothing.
 func (p *Placer) forget(b *backendState) {
-	if !b.listed && b.running == 0 {
-		delete(p.backends, b.ID)
+	if b.listed || b.running > 0 {
+		return
+	}
+	if b.owner == p.self {
+		p.forgetLoans(b)
+	} else if b.owner != nil {
+		b.owner.lender.holdings.remove(b)
 	}
+	b.held = 0
+	p.held.remove(b)
+	delete(p.backends, b.ID)
 }
--- a/internal/placer/policy.go
+++ b/internal/placer/policy.go
@@ -10,5 +10,10 @@
 // less loaded as far as this entry VM knows.
 type TwoChoices struct{}
 
+// Reserve starts a task only on a slot that this entry VM owns or was granted
+// by the owner. Where no owner can be reached it falls back to TwoChoices.
+type Reserve struct{}
+
 func (Random) isPolicy()     {}
+func (Reserve) isPolicy()    {}
 func (TwoChoices) isPolicy() {}
--- /dev/null
+++ b/internal/placer/reserve_test.go
@@ -0,0 +1,148 @@
+package placer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// drawFleet starts a fleet under a drawn load.
+func drawFleet(t *rapid.T) *fleet {
+	f := newFleet(rapid.Uint64Range(1, 1000).Draw(t, "seed"), rapid.IntRange(1, 7).Draw(t, "vms"), rapid.IntRange(3, 12).Draw(t, "backends"))
+	f.run(time.Second)
+	weighing := rapid.SampledFrom([]Weighing{WeighResponse, WeighMessages}).Draw(t, "weighing")
+	load := float64(rapid.IntRange(10, 150).Draw(t, "load")) / 100
+	f.offer(2*time.Second, load, 40, Reserve{}, weighing)
+	return f
+}
+
+// checkSettled fails when a job has not ended, or when an owner still counts
+// slots as used after all jobs have ended.
+func checkSettled(t *rapid.T, f *fleet) {
+	for _, vm := range f.vms {
+		if vm.dead {
+			continue
+		}
+		if len(vm.jobs) > 0 || len(vm.waiting) > 0 {
+			t.Fatalf("%v: %d jobs have not ended, %d tasks wait", vm.member.Member, len(vm.jobs), len(vm.waiting))
+		}
+		var slots identifier.Slots
+		for _, b := range vm.placer.self.backends {
+			slots += b.Slots
+		}
+		if free := vm.placer.ownedFree; free != slots {
+			t.Fatalf("%v counts %d of its %d slots as free", vm.member.Member, free, slots)
+		}
+	}
+}
+
+// TestReserveIsExact checks that as long as no message is lost no start is ever
+// refused, that owners never lend more than they have, and that no task starves.
+func TestReserveIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.longTask = time.Duration(rapid.IntRange(0, 5).Draw(t, "longSeconds")) * time.Second
+		f.repeat = float64(rapid.IntRange(0, 30).Draw(t, "repeat")) / 100
+		f.jitter = time.Duration(rapid.IntRange(0, 20).Draw(t, "jitterMillis")) * time.Millisecond
+		for range 30 {
+			f.run(100 * time.Millisecond)
+			for _, vm := range f.vms {
+				checkLoans(t, vm)
+			}
+		}
+		f.settle()
+		if f.refused > 0 {
+			t.Fatalf("%d of %d starts were refused", f.refused, f.starts)
+		}
+		checkSettled(t, f)
+	})
+}
+
+func checkLoans(t *rapid.T, vm *fleetVM) {
+	for _, b := range vm.placer.self.backends {
+		if b.running+b.lent > b.Slots || b.lent < 0 {
+			t.Fatalf("%v: %s runs %d tasks and lends %d slots", vm.member.Member, b.ID, b.running, b.lent)
+		}
+	}
+}
+
+// TestReserveSurvivesLoss checks that lost, repeated and reordered messages
+// starve no task and leave no slot counted as used.
+func TestReserveSurvivesLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.loss = float64(rapid.IntRange(0, 50).Draw(t, "loss")) / 100
+		f.repeat = float64(rapid.IntRange(0, 30).Draw(t, "repeat")) / 100
+		f.jitter = time.Duration(rapid.IntRange(0, 20).Draw(t, "jitterMillis")) * time.Millisecond
+		f.run(3 * time.Second)
+		f.loss = 0
+		f.settle()
+		checkSettled(t, f)
+	})
+}
+
+// TestReserveSurvivesReplacement replaces a VM under load: the others notice
+// that it can't be reached, and later get a list with its successor.
+func TestReserveSurvivesReplacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.run(time.Duration(rapid.IntRange(0, 1500).Draw(t, "dieAtMillis")) * time.Millisecond)
+		gone := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
+		gone.dead = true
+		f.run(100 * time.Millisecond)
+		for _, vm := range f.vms {
+			vm.step(PeerLost{Member: gone.member.Member})
+		}
+		f.run(500 * time.Millisecond)
+		f.replace(gone)
+		f.settle()
+		checkSettled(t, f)
+	})
+}
+
+// TestReserveSurvivesJoining adds a VM under load, which takes over slots that
+// are lent and in use. No start may be refused when all VMs hear of it at the
+// same time. Else two VMs may lend the same slot, which costs a refusal.
+func TestReserveSurvivesJoining(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.longTask = time.Duration(rapid.IntRange(0, 3).Draw(t, "longSeconds")) * time.Second
+		f.run(time.Duration(rapid.IntRange(0, 1500).Draw(t, "joinAtMillis")) * time.Millisecond)
+		joined := DomainMember{Member: identifier.Member{VM: "joined", Incarnation: 1}, Domain: "d0"}
+		f.members = append(f.members, joined)
+		f.addVM(joined)
+		spread := rapid.IntRange(0, 1).Draw(t, "spread")
+		for i, vm := range f.vms {
+			f.after(time.Duration(spread*i*15)*time.Millisecond, func() {
+				vm.placer.SetMembers(f.now, f.members)
+			})
+		}
+		f.settle()
+		if spread == 0 && f.refused > 0 {
+			t.Fatalf("%d of %d starts were refused", f.refused, f.starts)
+		}
+		checkSettled(t, f)
+	})
+}
+
+// TestReserveSharesBetweenVMs floods one VM, which borrows all slots, and checks
+// that a job at another VM is served before the flood has ended.
+func TestReserveSharesBetweenVMs(t *testing.T) {
+	for _, weighing := range []Weighing{WeighResponse, WeighMessages} {
+		f := newFleet(1, 3, 6)
+		f.run(time.Second)
+		f.vms[0].submit("flood", slices.Repeat([]time.Duration{100 * time.Millisecond}, 5000), Reserve{}, weighing)
+		f.run(2 * time.Second)
+		f.vms[1].submit("small", slices.Repeat([]time.Duration{100 * time.Millisecond}, 16), Reserve{}, weighing)
+		for len(f.vms[1].jobs) > 0 {
+			f.run(10 * time.Millisecond)
+		}
+		if len(f.vms[0].jobs) == 0 {
+			t.Errorf("%s: the small job waited until the flood had ended", weighing)
+		}
+	}
+}
