feat(operatorserver): serve the operators' API and its client

Cause: operators drive the dispatcher by profiles and tokens alone, from scripts and by hand, and hand it over with proof of what is in force. Change: one command path takes requests of several operations, which are made whole or refused with a cause, a status code and, for a conflict, the changes since; queries list profiles, history, tokens, status and the handover package. The client asks again under the same change id when an answer is lost.

--- /dev/null
+++ b/internal/operatorserver/client.go
@@ -0,0 +1,167 @@
+package operatorserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/profilekeeper"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+const (
+	maxAnswerSize  = 8 << 20 // bytes
+	changeAttempts = 3
+	changePause    = 500 * time.Millisecond // between attempts
+)
+
+// RefusedError is the server's answer to a request that it did not fulfil.
+type RefusedError struct {
+	Status  int // HTTP status code
+	Cause   Cause
+	Detail  string
+	Faults  []profileparser.FieldError
+	Base    identifier.ProfileVersion
+	Current *profilekeeper.Entry   // of a conflict
+	Changes []profilekeeper.Change // of a conflict, since Base
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string { return fmt.Sprintf("%s: %s", e.Cause, e.Detail) }
+
+// UnreachableError says that the server gave no answer.
+type UnreachableError struct{ err error }
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return "no answer: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.err }
+
+// Client calls the operators' API.
+type Client struct {
+	Server string // URL
+	Token  string // bearer token; empty sends none
+	HTTP   *http.Client
+}
+
+// Change asks for operations under a change id. A lost answer is settled by
+// asking again; if that fails too, the error is *UnreachableError and the same
+// call with the same id settles it later.
+func (c *Client) Change(ctx context.Context, id identifier.ChangeID, reason string, operations []profilekeeper.Operation) (accepted profilekeeper.Accepted, err error) {
+	body := changeRequest{ChangeID: id, Reason: reason}
+	for _, o := range operations {
+		body.Operations = append(body.Operations, encoded(o))
+	}
+	var answer acceptedAnswer
+	for n := range changeAttempts {
+		if n > 0 && !wait(ctx, changePause) {
+			break
+		}
+		err = c.call(ctx, http.MethodPost, "changes", body, &answer)
+		if !is[*UnreachableError](err) {
+			break
+		}
+	}
+	return profilekeeper.Accepted{ID: answer.ChangeID, First: answer.First, Last: answer.Last, Repeated: answer.Repeated}, err
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Profiles returns the profiles in force.
+func (c *Client) Profiles(ctx context.Context) (list ProfileList, err error) {
+	err = c.call(ctx, http.MethodGet, "profiles", nil, &list)
+	return list, err
+}
+
+// Profile returns one profile with its changes.
+func (c *Client) Profile(ctx context.Context, name identifier.ProfileName) (detail ProfileDetail, err error) {
+	err = c.call(ctx, http.MethodGet, "profiles/"+url.PathEscape(string(name)), nil, &detail)
+	return detail, err
+}
+
+// History returns the newest changes.
+func (c *Client) History(ctx context.Context, limit int) (h History, err error) {
+	err = c.call(ctx, http.MethodGet, fmt.Sprintf("history?limit=%d", limit), nil, &h)
+	return h, err
+}
+
+// Tokens returns what may be shown of all tokens.
+func (c *Client) Tokens(ctx context.Context) (tokens []TokenInfo, err error) {
+	err = c.call(ctx, http.MethodGet, "tokens", nil, &tokens)
+	return tokens, err
+}
+
+// Status returns what is in force on each VM.
+func (c *Client) Status(ctx context.Context) (statuses []VMStatus, err error) {
+	err = c.call(ctx, http.MethodGet, "status", nil, &statuses)
+	return statuses, err
+}
+
+// Handover returns the package for a new operator.
+func (c *Client) Handover(ctx context.Context) (h Handover, err error) {
+	err = c.call(ctx, http.MethodGet, "handover", nil, &h)
+	return h, err
+}
+
+// call makes one request and decodes its answer.
+func (c *Client) call(ctx context.Context, method, path string, body, into any) (err error) {
+	defer func() { err = errors.Wrapf(err, "%s %s", method, path) }()
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		payload = bytes.NewReader(data)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.Server, "/")+pathPrefix+path, payload)
+	if err != nil {
+		return err
+	}
+	if c.Token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Token)
+	}
+	answer, err := c.HTTP.Do(r)
+	if err != nil {
+		return &UnreachableError{err: err}
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerSize))
+	if err != nil {
+		return &UnreachableError{err: err}
+	}
+	if answer.StatusCode != http.StatusOK {
+		return refusal(answer.StatusCode, data)
+	}
+	return json.Unmarshal(data, into)
+}
+
+func refusal(status int, data []byte) error {
+	var body errorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Cause == "" {
+		return &UnreachableError{err: errors.Newf("status %d without a reason", status)}
+	}
+	e := body.Error
+	return &RefusedError{
+		Status: status, Cause: e.Cause, Detail: e.Detail, Faults: e.Faults, Base: e.Base, Current: e.Current, Changes: e.Changes,
+	}
+}
--- /dev/null
+++ b/internal/operatorserver/server.go
@@ -0,0 +1,136 @@
+// Package operatorserver serves the operators' HTTP API below /v1/control/, and
+// holds its client.
+//
+// Commands go through the store; queries are answered from the book that is in
+// force on the VM that is asked.
+package operatorserver
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/peppertrack/peppertrack/internal/profilekeeper"
+)
+
+// Bounds of a request.
+const (
+	maxBodySize    = 4 << 20          // bytes
+	commandTimeout = 20 * time.Second // of a change, its attempts at the store included
+	queryTimeout   = 10 * time.Second
+)
+
+const pathPrefix = "/v1/control/"
+
+// Authenticator names the operator of an Authorization header.
+type Authenticator interface {
+	Operator(header string) (string, error)
+}
+
+// Writer makes changes in the store.
+type Writer interface {
+	Write(ctx context.Context, r profilekeeper.Request) (profilekeeper.Accepted, error)
+}
+
+// StatusSource tells what is in force on every VM that is known.
+type StatusSource interface {
+	// Status returns one entry for each VM, unreachable ones included, in the
+	// order of their names.
+	Status(ctx context.Context) ([]VMStatus, error)
+}
+
+// Options configure the server.
+type Options struct {
+	Operators Authenticator
+	Writer    Writer
+	Book      func() profilekeeper.Book // in force on this VM
+	Status    StatusSource
+	Logger    log.Logger
+}
+
+// server serves the operators' API.
+type server struct{ opts Options }
+
+// New returns the handler of the operators' API.
+func New(opts Options) http.Handler {
+	if opts.Logger == nil {
+		opts.Logger = log.NewNopLogger()
+	}
+	s := &server{opts: opts}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathPrefix+"changes", s.command(s.change))
+	mux.HandleFunc("GET "+pathPrefix+"profiles", s.query(s.profiles))
+	mux.HandleFunc("GET "+pathPrefix+"profiles/{name}", s.query(s.profile))
+	mux.HandleFunc("GET "+pathPrefix+"history", s.query(s.history))
+	mux.HandleFunc("GET "+pathPrefix+"tokens", s.query(s.tokens))
+	mux.HandleFunc("GET "+pathPrefix+"status", s.query(s.status))
+	mux.HandleFunc("GET "+pathPrefix+"handover", s.query(s.handover))
+	mux.HandleFunc(pathPrefix, s.query(func(context.Context, string, *http.Request) (any, error) {
+		return nil, &noSuchPathError{}
+	}))
+	return mux
+}
+
+// handler serves an operator's request with the value that is the answer.
+type handler func(ctx context.Context, operator string, r *http.Request) (any, error)
+
+func (s *server) command(h handler) http.HandlerFunc { return s.handle(commandTimeout, h) }
+func (s *server) query(h handler) http.HandlerFunc   { return s.handle(queryTimeout, h) }
+
+// handle authenticates, bounds and answers a request.
+func (s *server) handle(timeout time.Duration, h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		operator, err := s.opts.Operators.Operator(r.Header.Get("Authorization"))
+		if err != nil {
+			s.fail(w, r, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), timeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodySize)
+		answer, err := h(ctx, operator, r)
+		if err != nil {
+			s.fail(w, r, err)
+			return
+		}
+		s.write(w, http.StatusOK, answer)
+	}
+}
+
+func (s *server) write(w http.ResponseWriter, status int, answer any) {
+	data, err := json.Marshal(answer)
+	if err != nil {
+		s.opts.Logger.Log("level", "error", "msg", "encoding an answer", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n')) // the client may be gone
+}
+
+func (s *server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	status, body := errorAnswer(err)
+	s.opts.Logger.Log("level", "info", "msg", "request refused", "path", r.URL.Path, "cause", body.Error.Cause, "err", err)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	s.write(w, status, body)
+}
+
+// decode reads a JSON body strictly.
+func decode(r *http.Request, into any) error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return &badBodyError{err: err}
+	}
+	if d.More() {
+		return &badBodyError{err: errors.New("more than one JSON value")}
+	}
+	return nil
+}
--- a/internal/profilekeeper/book.go
+++ b/internal/profilekeeper/book.go
@@ -45,9 +45,9 @@
 // RecentRequest recognizes a request that was applied.
 type RecentRequest struct {
 	ID    identifier.ChangeID       `cbor:"1,keyasint" json:"id"`
-	First identifier.ProfileVersion `cbor:"2,keyasint" json:"first"` // version after its first operation
-	Last  identifier.ProfileVersion `cbor:"3,keyasint" json:"last"`  // version after its last operation
-	Hash  uint64                    `cbor:"4,keyasint" json:"hash"`  // of what it asked for
+	First identifier.ProfileVersion `cbor:"2,keyasint" json:"first"`       // version after its first operation
+	Last  identifier.ProfileVersion `cbor:"3,keyasint" json:"last"`        // version after its last operation
+	Hash  uint64                    `cbor:"4,keyasint" json:"hash,string"` // of what it asked for
 }
 
 // Profile returns the entry of a profile, which may be retired.
--- a/internal/profilekeeper/change.go
+++ b/internal/profilekeeper/change.go
@@ -30,7 +30,7 @@
 	Reason  string                    `cbor:"4,keyasint" json:"reason"`
 	At      time.Time                 `cbor:"5,keyasint" json:"at"`
 	Kind    ChangeKind                `cbor:"6,keyasint" json:"kind"`
-	Request uint64                    `cbor:"9,keyasint" json:"request"` // hash of what the request asked for
+	Request uint64                    `cbor:"9,keyasint" json:"request,string"` // hash of what the request asked for
 	Profile *profileparser.Profile    `cbor:"7,keyasint,omitempty" json:"profile,omitempty"`
 	Token   *authenticator.Record     `cbor:"8,keyasint,omitempty" json:"token,omitempty"`
 }
--- a/internal/profileparser/errors.go
+++ b/internal/profileparser/errors.go
@@ -7,10 +7,10 @@
 
 // FieldError says what is wrong with one field of one file.
 type FieldError struct {
-	File    string
-	Line    int    // from 1; 0 when the file as a whole is meant
-	Field   string // path of the field, such as placement.policy
-	Problem string
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"`  // from 1; 0 when the file as a whole is meant
+	Field   string `json:"field,omitempty"` // path of the field, such as placement.policy
+	Problem string `json:"problem"`
 }
 
 // Error returns the error as file:line: field: problem.
