test(dispatcher): hold the outcomes of several machines under faults

Cause: the composed decisions had no test, and hid two faults. A request to a peer that was lost before it was sent waited for an hour: no loss was reported any more. After the death of its entry VM a job that had completed, and whose caller had been told, was reported as failed. A request to a peer without a link is sent again; a job whose entry VM is gone is unverifiable.

--- a/internal/declarer/answer.go
+++ b/internal/declarer/answer.go
@@ -88,6 +88,7 @@
 	HomeUnreachable UnverifiableCause = "homeUnreachable" // the VMs that hold the claim can't be asked now
 	RecordsLost     UnverifiableCause = "recordsLost"     // the VMs that held the claim are gone
 	RecordExpired   UnverifiableCause = "recordExpired"   // the id is older than records are kept
+	VMLost          UnverifiableCause = "vmLost"          // the entry VM that ran the job ended first
 	AnswerLost      UnverifiableCause = "answerLost"      // the job ran; its answer went with its VM
 	BodyMismatch    UnverifiableCause = "bodyMismatch"    // the id was used with another body
 )
--- a/internal/dispatcher/claims.go
+++ b/internal/dispatcher/claims.go
@@ -73,6 +73,11 @@
 // askClaim asks for the right to run a job. Its answer comes at once or in a
 // later step.
 func (m *Machine) askClaim(now time.Time, j *runningJob) {
+	if m.opts.defects.skipClaim {
+		j.claimed = true
+		m.start(now, j)
+		return
+	}
 	m.claimerStep(now, claimer.ClaimAsked{
 		Submission: j.job.Submission,
 		Digest:     j.digest,
@@ -129,25 +134,25 @@
 		return
 	}
 	delete(m.jobs, e.Submission)
-	ending := withOutcomes(e.Ending, len(j.job.Tasks))
+	ending := tellable(e.Ending)
 	m.count(ending)
 	for _, w := range j.waiters {
 		m.replyEnding(w.requester, ending)
 	}
 }
 
-// withOutcomes marks every task of a failed job whose outcomes went with its
-// entry VM as unknown.
-func withOutcomes(ending declarer.Ending, tasks int) declarer.Ending {
+// tellable turns the ending that the claimer keeps of a job whose entry VM is
+// gone into what may be told: the job may have completed, and its caller may
+// have been told so, before that VM ended.
+func tellable(ending declarer.Ending) declarer.Ending {
 	failed, ok := ending.(declarer.Failed)
-	if !ok || len(failed.Outcomes) > 0 {
+	if !ok || failed.Cause != declarer.RunnerLost {
 		return ending
 	}
-	failed.Outcomes = make([]declarer.TaskOutcome, tasks)
-	for i := range failed.Outcomes {
-		failed.Outcomes[i] = declarer.Unknown
+	return declarer.Unverifiable{
+		Cause:  declarer.VMLost,
+		Detail: failed.Detail + "; what became of the job is not known, and it will not be started again",
 	}
-	return failed
 }
 
 // claimForwarded sends those who wait on to the entry VM that knows the job.
@@ -172,7 +177,7 @@
 	case record.Complete != nil:
 		return *record.Complete, true
 	case record.Failed != nil:
-		return *record.Failed, true
+		return tellable(*record.Failed), true
 	default:
 		return nil, false
 	}
--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -29,7 +29,7 @@
 	m.number++
 	f := &forward{requester: r, to: to, message: message, until: now.Add(forwardWait(message))}
 	m.forwards[m.number] = f
-	m.sendForward(m.number, f)
+	m.sendForward(now, m.number, f)
 }
 
 // forwardWait returns how long a request waits for a peer.
@@ -47,8 +47,13 @@
 	}
 }
 
-func (m *Machine) sendForward(number peermessenger.RequestNumber, f *forward) {
+// sendForward sends a request, or has it sent later when its peer is not linked.
+func (m *Machine) sendForward(now time.Time, number peermessenger.RequestNumber, f *forward) {
 	f.attempts++
+	if _, up := m.peers[f.to]; !up {
+		f.resendAt = now.Add(retryForward)
+		return
+	}
 	f.resendAt = time.Time{}
 	m.emit(Send{To: f.to, Message: numbered(f.message, number)})
 }
@@ -82,6 +87,9 @@
 // forwardsLost arranges for the requests that a lost peer has to be sent again.
 // That is safe: the home starts a submission once, whatever it receives.
 func (m *Machine) forwardsLost(now time.Time, member identifier.Member) {
+	if m.opts.defects.dropForwards {
+		return
+	}
 	for _, f := range m.forwards {
 		if f.to == member && f.resendAt.IsZero() {
 			f.resendAt = now.Add(retryForward)
@@ -121,7 +129,7 @@
 		m.takeBack(now, f)
 	default:
 		f.to = home
-		m.sendForward(number, f)
+		m.sendForward(now, number, f)
 	}
 }
 
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -18,6 +18,19 @@
 	Retention      time.Duration // of a record, from the creation of the submission id
 	ClockBound     time.Duration // largest difference between two clocks
 	Counters       *Counters
+
+	defects defects
+}
+
+// defects break promises, for tests that show that the checks find it.
+type defects struct {
+	restartLost   bool // a task whose answer was lost goes back to the queue
+	refuseStarted bool // an overdue job is refused though a task has started
+	mixOutputs    bool // outputs are put at the wrong index
+	endEarly      bool // a job is complete before its last task has ended
+	skipClaim     bool // a job starts without a claim
+	dropForwards  bool // requests of a lost peer are never sent again
+	denyStarts    bool // running tasks are reported as never started
 }
 
 const (
--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -49,14 +49,30 @@
 	}
 	m.estimator.Observe(j.job.Profile, j.job.Tasks[e.Ref.Index].RunTime, outcome.RunTime)
 	j.states[e.Ref.Index] = taskSucceeded
-	j.outputs[e.Ref.Index] = outcome.Output
+	j.outputs[m.outputIndex(e.Ref.Index, j)] = outcome.Output
 	j.longest = max(j.longest, outcome.RunTime)
 	j.ended++
-	if j.ended == len(j.states) {
+	if j.ended == m.tasksToEnd(j) {
 		m.end(now, j, declarer.Complete{Outputs: j.outputs})
 	}
 }
 
+// tasksToEnd is the number of tasks that a job has to end to be complete.
+func (m *Machine) tasksToEnd(j *runningJob) int {
+	if m.opts.defects.endEarly {
+		return max(1, len(j.states)-1)
+	}
+	return len(j.states)
+}
+
+// outputIndex is where the output of a task goes.
+func (m *Machine) outputIndex(i identifier.TaskIndex, j *runningJob) identifier.TaskIndex {
+	if m.opts.defects.mixOutputs {
+		return identifier.TaskIndex(len(j.states)-1) - i
+	}
+	return i
+}
+
 func (m *Machine) taskFailed(now time.Time, e StartEnded, j *runningJob, outcome TaskFailed) {
 	m.opts.Counters.TasksFailed.Add(1)
 	m.settle(now, e, false, outcome.RunTime)
@@ -82,6 +98,10 @@
 // answerLost fails the job: the task may have started, so it can't start again.
 func (m *Machine) answerLost(now time.Time, e StartEnded, j *runningJob, outcome AnswerLost) {
 	m.opts.Counters.TasksLost.Add(1)
+	if m.opts.defects.restartLost {
+		m.startRefused(now, e, j, StartRefused{Reason: placer.Unreachable})
+		return
+	}
 	m.limiter.Ended(now, e.Ref, 0)
 	m.placerStep(now, placer.TaskLost{Backend: e.Backend, Ref: e.Ref})
 	if j == nil {
@@ -99,7 +119,14 @@
 
 // fail ends a job that can't complete. A job of which nothing started was not run.
 func (m *Machine) fail(now time.Time, j *runningJob, cause declarer.FailureCause, detail string) {
-	m.end(now, j, declarer.Failed{Cause: cause, Detail: detail, Outcomes: j.outcomes()})
+	outcomes := j.outcomes()
+	if m.opts.defects.denyStarts {
+		clear(outcomes)
+		for i := range outcomes {
+			outcomes[i] = declarer.NeverStarted
+		}
+	}
+	m.end(now, j, declarer.Failed{Cause: cause, Detail: detail, Outcomes: outcomes})
 }
 
 // end gives a job its ending, answers those who wait and stops what still runs.
--- a/internal/dispatcher/tick.go
+++ b/internal/dispatcher/tick.go
@@ -41,7 +41,7 @@
 }
 
 func (m *Machine) overdue(now time.Time, j *runningJob) {
-	if j.started() {
+	if j.started() && !m.opts.defects.refuseStarted {
 		m.fail(now, j, declarer.DeadlineExceeded, "the deadline passed before every task had ended")
 		return
 	}
