feat(placer,limiter): ask for all tasks that wait, the oldest first

Cause: the dispatcher hands tasks to Place in batches, so that the wish for slots fell short of the queue; it did not say how long a task has waited. Change: Flush carries the number of dispatchable tasks, a want its age; the default policy is Reserve.

--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -118,6 +118,7 @@
 		Memory:       t.Memory,
 		Accelerators: t.Requires,
 		Weighing:     j.weighing,
+		Since:        j.arrived,
 		Policy:       j.policy,
 	}
 }
--- a/internal/dispatcher/pump.go
+++ b/internal/dispatcher/pump.go
@@ -25,7 +25,7 @@
 		m.batch = min(2*m.batch, largestBatch)
 	}
 	if asked {
-		m.placerStep(now, placer.Flush{})
+		m.placerStep(now, placer.Flush{Waiting: m.limiter.Dispatchable()})
 	}
 }
 
--- a/internal/limiter/lane.go
+++ b/internal/limiter/lane.go
@@ -22,6 +22,7 @@
 	queuedWork time.Duration
 	running    identifier.Slots // dispatched tasks that have not ended
 	quota      identifier.Slots // over all entry VMs; 0: none
+	counted    identifier.Slots // what the lane adds to the dispatchable tasks
 }
 
 // ready reports whether a task of the lane may be dispatched.
@@ -29,6 +30,15 @@
 	return len(l.jobs) > 0 && (l.quota == 0 || l.running < l.share())
 }
 
+// dispatchable is the number of queued tasks that the quota lets run now.
+func (l *lane) dispatchable() identifier.Slots {
+	n := identifier.Slots(l.queued)
+	if l.quota > 0 {
+		n = min(n, l.share()-l.running)
+	}
+	return max(0, n)
+}
+
 // share is this entry VM's part of the quota.
 func (l *lane) share() identifier.Slots { return l.quota }
 
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -35,7 +35,9 @@
 	running    identifier.Slots // dispatched tasks that have not ended
 	runWork    time.Duration    // expected of the running tasks
 	retries    tokenBucket
-	parked     []parkedTask // returned tasks that the budget of repeated starts holds back
+
+	dispatchable identifier.Slots // queued tasks that their quotas let run now
+	parked       []parkedTask     // returned tasks that the budget of repeated starts holds back
 }
 
 // New returns a Limiter without capacity: it refuses all work until SetCapacity.
@@ -61,8 +63,16 @@
 // Running returns the number of dispatched tasks that have not ended.
 func (l *Limiter) Running() identifier.Slots { return l.running }
 
+// Dispatchable returns the number of queued tasks that their quotas let run now.
+func (l *Limiter) Dispatchable() identifier.Slots { return l.dispatchable }
+
 // reorder brings a team's place among the ready teams up to date.
 func (l *Limiter) reorder(t *team) {
+	for _, ln := range t.lanes {
+		n := ln.dispatchable()
+		l.dispatchable += n - ln.counted
+		ln.counted = n
+	}
 	ready := t.first() != nil
 	switch {
 	case ready && t.position == notQueued:
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -238,7 +238,7 @@
 			t.Fatalf("%v was never dispatched again", ref)
 		}
 	}
-	if l := m.l; l.queued != 0 || l.running != 0 || l.queuedWork != 0 || l.runWork != 0 || len(l.jobs) != 0 || l.active != 0 {
+	if l := m.l; l.queued != 0 || l.running != 0 || l.queuedWork != 0 || l.runWork != 0 || len(l.jobs) != 0 || l.active != 0 || l.dispatchable != 0 {
 		t.Fatalf("the empty limiter still counts %+v", l)
 	}
 }
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -24,6 +24,19 @@
 	return now.Sub(d.since)
 }
 
+// raise counts the tasks that wait besides those handed to Place, which are
+// taken to weigh the same.
+func (d *demand) raise(waiting identifier.Slots) {
+	more := waiting - d.total()
+	switch {
+	case more <= 0 || d.total() == 0:
+	case d.response > 0:
+		d.response += more
+	default:
+		d.messages += more
+	}
+}
+
 func (d *demand) add(w *Want) {
 	if !w.Since.IsZero() && (d.since.IsZero() || w.Since.Before(d.since)) {
 		d.since = w.Since
--- a/internal/placer/event.go
+++ b/internal/placer/event.go
@@ -59,7 +59,9 @@
 
 // Flush follows a call of Place: requests for slots that should not wait for
 // the next Tick are sent.
-type Flush struct{}
+type Flush struct {
+	Waiting identifier.Slots // tasks that wait with the caller, whether handed to Place or not
+}
 
 // Tick tells that time has passed.
 type Tick struct{}
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -43,11 +43,11 @@
 	switch p.policy(w).(type) {
 	case Random:
 		return p.draw(&p.usable, w)
-	case Reserve:
+	case TwoChoices:
+		return p.chooseTwo(&p.usable, w)
+	default:
 		p.reserving = true
 		return p.chooseReserved(s, w)
-	default:
-		return p.chooseTwo(&p.usable, w)
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -50,7 +50,7 @@
 // New returns a Placer that knows no backend server.
 func New(opts Options) *Placer {
 	if opts.Default == nil {
-		opts.Default = TwoChoices{}
+		opts.Default = Reserve{}
 	}
 	return &Placer{
 		opts:         opts,
--- a/internal/placer/step.go
+++ b/internal/placer/step.go
@@ -25,7 +25,7 @@
 	case PeerLost:
 		p.peerLost(now, e)
 	case Flush:
-		return p.flush(now)
+		return p.flush(now, e)
 	case Tick:
 		return p.tick(now)
 	}
@@ -146,7 +146,8 @@
 }
 
 // flush asks for slots on behalf of the tasks that weigh the response time more.
-func (p *Placer) flush(now time.Time) []Effect {
+func (p *Placer) flush(now time.Time, e Flush) []Effect {
+	p.demand.raise(e.Waiting)
 	effects := p.sendLeaving()
 	if p.demand.response == 0 {
 		return effects
