feat(peppertrack): drive profiles, tokens and the handover from the command line

Cause: operators want declarations kept in version control, with exit codes and JSON for scripts, and a package that proves what is in force. Operators' commands take server and token from variables and keys of their own, since their API has an address of its own. A command that made a change returns once the change is in force on the VM that was asked.

--- a/cmd/peppertrack/internal/cmd/clientoptions.go
+++ b/cmd/peppertrack/internal/cmd/clientoptions.go
@@ -22,7 +22,17 @@
 	envConfig = "PEPPERTRACK_CLIENT_CONFIG"
 )
 
-const defaultServer = "http://127.0.0.1:7070"
+// The same for the commands of operators.
+const (
+	envOperatorsServer = "PEPPERTRACK_OPERATORS_SERVER"
+	envOperatorsToken  = "PEPPERTRACK_OPERATORS_TOKEN"
+)
+
+// The servers of an entry VM with default settings.
+const (
+	defaultServer          = "http://127.0.0.1:7101"
+	defaultOperatorsServer = "http://127.0.0.1:7102"
+)
 
 const maxClientConfigSize = 64 << 10 // bytes
 
@@ -38,34 +48,66 @@
 // clientOptions are the options of every command that talks to a server. A flag
 // goes before the environment, the environment before the file.
 type clientOptions struct {
-	Server string       `yaml:"server"` // URL of an entry VM or of the balancer
-	Token  string       `yaml:"token"`  // bearer token of the team or operator
-	Output outputFormat `yaml:"output"`
+	Server string       // URL of an entry VM or of the balancer
+	Token  string       // bearer token of the team or operator
+	Output outputFormat // of the answer
+}
+
+// clientConfig is the client's file.
+type clientConfig struct {
+	Server          string       `yaml:"server"`
+	Token           string       `yaml:"token"`
+	OperatorsServer string       `yaml:"operatorsServer"`
+	OperatorsToken  string       `yaml:"operatorsToken"`
+	Output          outputFormat `yaml:"output"`
 }
 
-// addClientFlags adds the shared flags to a command and its children. The
-// options are complete when the command's RunE is called.
-func addClientFlags(cmd *cobra.Command) *clientOptions {
+// clientSources says where options come from that the flags leave out.
+type clientSources struct {
+	serverEnv, tokenEnv string
+	fromFile            func(clientConfig) (server, token string)
+	defaultServer       string
+}
+
+var callerSources = clientSources{
+	serverEnv: envServer, tokenEnv: envToken, defaultServer: defaultServer,
+	fromFile: func(c clientConfig) (server, token string) { return c.Server, c.Token },
+}
+
+var operatorSources = clientSources{
+	serverEnv: envOperatorsServer, tokenEnv: envOperatorsToken, defaultServer: defaultOperatorsServer,
+	fromFile: func(c clientConfig) (server, token string) { return c.OperatorsServer, c.OperatorsToken },
+}
+
+// addClientFlags adds the shared flags of callers' commands to a command and its
+// children. The options are complete when the command's RunE is called.
+func addClientFlags(cmd *cobra.Command) *clientOptions { return addFlags(cmd, callerSources) }
+
+// addOperatorFlags does the same for operators' commands.
+func addOperatorFlags(cmd *cobra.Command) *clientOptions { return addFlags(cmd, operatorSources) }
+
+func addFlags(cmd *cobra.Command, sources clientSources) *clientOptions {
 	o := &clientOptions{}
 	flags := cmd.PersistentFlags()
-	flags.StringVar(&o.Server, "server", "", "URL of an entry VM or the balancer (environment: "+envServer+")")
-	flags.StringVar(&o.Token, "token", "", "bearer token (environment: "+envToken+")")
+	flags.StringVar(&o.Server, "server", "", "URL of an entry VM or the balancer (environment: "+sources.serverEnv+")")
+	flags.StringVar(&o.Token, "token", "", "bearer token (environment: "+sources.tokenEnv+")")
 	flags.StringVar((*string)(&o.Output), "output", "", "text or json (environment: "+envOutput+")")
 	cmd.PersistentPreRunE = func(*cobra.Command, []string) error {
-		return withExitCode(exitUsage, o.resolve(os.Getenv))
+		return withExitCode(exitUsage, o.resolve(sources, os.Getenv))
 	}
 	return o
 }
 
 // resolve fills what the flags left out and checks the result.
-func (o *clientOptions) resolve(getenv func(string) string) (err error) {
+func (o *clientOptions) resolve(sources clientSources, getenv func(string) string) (err error) {
 	defer func() { err = errors.Wrap(err, "client options") }()
 	file, err := readClientConfig(getenv(envConfig))
 	if err != nil {
 		return err
 	}
-	o.Server = cmp.Or(o.Server, getenv(envServer), file.Server, defaultServer)
-	o.Token = cmp.Or(o.Token, getenv(envToken), file.Token)
+	server, token := sources.fromFile(file)
+	o.Server = cmp.Or(o.Server, getenv(sources.serverEnv), server, sources.defaultServer)
+	o.Token = cmp.Or(o.Token, getenv(sources.tokenEnv), token)
 	o.Output = cmp.Or(o.Output, outputFormat(getenv(envOutput)), file.Output, outputText)
 	u, err := url.Parse(o.Server)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
@@ -78,29 +120,29 @@
 }
 
 // readClientConfig reads the named file, else the user's own if there is one.
-func readClientConfig(file string) (o clientOptions, err error) {
+func readClientConfig(file string) (c clientConfig, err error) {
 	named := file != ""
 	if !named {
 		dir, err := os.UserConfigDir()
 		if err != nil {
-			return o, nil
+			return c, nil
 		}
 		file = filepath.Join(dir, "peppertrack", "client.yaml")
 	}
 	f, err := os.Open(file)
 	if errors.Is(err, os.ErrNotExist) && !named {
-		return o, nil
+		return c, nil
 	}
 	if err != nil {
-		return o, err
+		return c, err
 	}
 	defer f.Close()
 	d := yaml.NewDecoder(io.LimitReader(f, maxClientConfigSize))
 	d.KnownFields(true)
-	if err := d.Decode(&o); err != nil && !errors.Is(err, io.EOF) {
-		return o, errors.Wrap(err, file)
+	if err := d.Decode(&c); err != nil && !errors.Is(err, io.EOF) {
+		return c, errors.Wrap(err, file)
 	}
-	return o, nil
+	return c, nil
 }
 
 // print writes v as JSON, or calls text to write it for a reader.
--- /dev/null
+++ b/cmd/peppertrack/internal/cmd/fakeoperators_test.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"net/http/httptest"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/peppertrack/peppertrack/internal/authenticator"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/operatorserver"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+	"github.com/peppertrack/peppertrack/internal/platformcaller"
+	"github.com/peppertrack/peppertrack/internal/profilefollower"
+	"github.com/peppertrack/peppertrack/internal/profilekeeper"
+	"github.com/peppertrack/peppertrack/internal/profilewriter"
+)
+
+// fakeOperators is one VM's operators' API on a store in memory.
+type fakeOperators struct {
+	memory   *platformcaller.Memory
+	follower *profilefollower.Follower
+	self     identifier.Member
+}
+
+const fakeOperatorsKey = "fakeOperators"
+
+// fakeOperatorsCmd starts the operators' API and points the client to it, with
+// the bootstrap token.
+func fakeOperatorsCmd(ts *testscript.TestScript, _ bool, _ []string) {
+	f := &fakeOperators{
+		memory: platformcaller.NewMemory(platformcaller.MemoryOptions{}),
+		self:   identifier.Member{VM: "vm1", Incarnation: 1},
+	}
+	bootstrap := authenticator.NewToken()
+	auth := authenticator.New(authenticator.Options{Bootstrap: bootstrap.Hash()})
+	f.follower = profilefollower.New(profilefollower.Options{
+		Self: f.self, Domain: "perth-a", Store: f.memory,
+		Send:    func(identifier.Member, peermessenger.Message) {},
+		Adopted: func(b profilekeeper.Book) { auth.Load(b.Tokens) },
+	})
+	writer := profilewriter.New(profilewriter.Options{Store: f.memory, Known: f.follower.Book, Written: f.follower.Written})
+	server := httptest.NewServer(operatorserver.New(operatorserver.Options{
+		Operators: auth, Writer: writer, Book: f.follower.Book, Status: f,
+	}))
+	ts.Defer(f.memory.Close)
+	ts.Defer(func() { ts.Check(f.follower.Close()) })
+	ts.Defer(server.Close)
+	ts.Setenv(envOperatorsServer, server.URL)
+	ts.Setenv(envOperatorsToken, bootstrap.Reveal())
+	ts.Value(fakeOperatorsKey).(*scriptState).operators = f
+}
+
+// Status says what is in force on the VM, and that another can't be reached.
+func (f *fakeOperators) Status(context.Context) ([]operatorserver.VMStatus, error) {
+	return []operatorserver.VMStatus{
+		{VM: f.self.VM, Incarnation: f.self.Incarnation, FailureDomain: "perth-a", Reachable: true, Profiles: f.follower.Status()},
+	}, nil
+}
+
+// storeCmd sets a fault of the store: up, down or loses (the next answer).
+func storeCmd(ts *testscript.TestScript, _ bool, args []string) {
+	faults := map[string]platformcaller.Faults{"up": {}, "down": {Down: true}, "loses": {LoseAnswers: 1}}
+	if len(args) != 1 {
+		ts.Fatalf("usage: store up|down|loses")
+	}
+	ts.Value(fakeOperatorsKey).(*scriptState).operators.memory.SetFaults(faults[args[0]])
+}
+
+// scriptState is what the commands of one script share.
+type scriptState struct{ operators *fakeOperators }
--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -27,6 +27,11 @@
 		newSubmitCmd(),
 		newJobCmd(),
 		newCancelCmd(),
+		newProfileCmd(),
+		newApplyCmd(),
+		newStatusCmd(),
+		newTokenCmd(),
+		newHandoverCmd(),
 		newConfigCmd(),
 		newTryCmd(),
 		newVersionCmd(),
@@ -36,6 +41,8 @@
 Commands that talk to a server take --server, --token and --output from flags,
 else from the environment, else from the file that ` + envConfig + `
 names, else from peppertrack/client.yaml in the user's configuration directory.
+Operators' commands have variables of their own, ` + envOperatorsServer + `
+and ` + envOperatorsToken + `, since their API has an address of its own.
 
 Exit codes: 0 done, 1 failed, 2 wrong flags or arguments, 3 conflict with
 somebody else's change, 4 refused, or the server is out of reach,
--- a/internal/operatorserver/client.go
+++ b/internal/operatorserver/client.go
@@ -62,17 +62,16 @@
 	for _, o := range operations {
 		body.Operations = append(body.Operations, encoded(o))
 	}
-	var answer acceptedAnswer
 	for n := range changeAttempts {
 		if n > 0 && !wait(ctx, changePause) {
 			break
 		}
-		err = c.call(ctx, http.MethodPost, "changes", body, &answer)
+		err = c.call(ctx, http.MethodPost, "changes", body, &accepted)
 		if !is[*UnreachableError](err) {
 			break
 		}
 	}
-	return profilekeeper.Accepted{ID: answer.ChangeID, First: answer.First, Last: answer.Last, Repeated: answer.Repeated}, err
+	return accepted, err
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
--- a/internal/operatorserver/commands.go
+++ b/internal/operatorserver/commands.go
@@ -42,14 +42,6 @@
 	Base identifier.ProfileVersion `json:"base"`
 }
 
-// acceptedAnswer says which versions of the book a request made.
-type acceptedAnswer struct {
-	ChangeID identifier.ChangeID       `json:"changeId"`
-	First    identifier.ProfileVersion `json:"first"`
-	Last     identifier.ProfileVersion `json:"last"`
-	Repeated bool                      `json:"repeated"` // an earlier attempt had been accepted
-}
-
 func (s *server) change(ctx context.Context, operator string, r *http.Request) (any, error) {
 	var body changeRequest
 	if err := decode(r, &body); err != nil {
@@ -69,7 +61,25 @@
 	}
 	s.opts.Logger.Log("level", "info", "msg", "change accepted", "changeId", accepted.ID, "operator", operator,
 		"version", accepted.Last, "repeated", accepted.Repeated)
-	return acceptedAnswer{accepted.ID, accepted.First, accepted.Last, accepted.Repeated}, nil
+	s.awaitInForce(ctx, accepted.Last)
+	return accepted, nil
+}
+
+// awaitInForce waits until a version is in force on this VM, so that its
+// operator's next query shows it. It gives up after awaitTimeout: the change is
+// accepted all the same.
+func (s *server) awaitInForce(ctx context.Context, version identifier.ProfileVersion) {
+	ctx, cancel := context.WithTimeout(ctx, awaitTimeout)
+	defer cancel()
+	ticker := time.NewTicker(awaitInterval)
+	defer ticker.Stop()
+	for s.opts.Book().Version < version {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // decoded returns the operation whose field is set.
--- a/internal/operatorserver/server.go
+++ b/internal/operatorserver/server.go
@@ -22,6 +22,8 @@
 	maxBodySize    = 4 << 20          // bytes
 	commandTimeout = 20 * time.Second // of a change, its attempts at the store included
 	queryTimeout   = 10 * time.Second
+	awaitTimeout   = time.Second          // for an accepted change to be in force on the VM that made it
+	awaitInterval  = 5 * time.Millisecond // between two looks at the book
 )
 
 const pathPrefix = "/v1/control/"
--- a/internal/profilekeeper/request.go
+++ b/internal/profilekeeper/request.go
@@ -29,10 +29,10 @@
 
 // Accepted says which versions of the book a request made.
 type Accepted struct {
-	ID       identifier.ChangeID
-	First    identifier.ProfileVersion
-	Last     identifier.ProfileVersion
-	Repeated bool // an earlier attempt had been accepted already
+	ID       identifier.ChangeID       `json:"changeId"`
+	First    identifier.ProfileVersion `json:"first"`
+	Last     identifier.ProfileVersion `json:"last"`
+	Repeated bool                      `json:"repeated"` // an earlier attempt had been accepted already
 }
 
 func (r Request) check() error {
