feat(runner): follow profiles, serve operators and tell the status of all VMs

Cause: the daemon had no profiles, no operators' API and no view of its peers. Change: the follower and writer of profiles, the operators' API, an inquirer that asks all linked peers for a report and names those that can't be reached; systemrunner creates its profiles through the store; profiles choose the policy reserve. Conclusion: operators can drive daemons as separate processes.

--- a/internal/dispatcher/policy.go
+++ b/internal/dispatcher/policy.go
@@ -12,6 +12,8 @@
 		return placer.Random{}
 	case profileparser.TwoChoices:
 		return placer.TwoChoices{}
+	case profileparser.Reserve:
+		return placer.Reserve{}
 	default:
 		return nil
 	}
--- a/internal/peerlinker/linker.go
+++ b/internal/peerlinker/linker.go
@@ -30,10 +30,10 @@
 	known  map[identifier.VMID]peermessenger.PeerAddress
 }
 
-// New returns a Linker that dials its seeds at once.
+// New returns a Linker that has no link before Start.
 func New(opts Options) *Linker {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Linker{
+	return &Linker{
 		opts:   opts,
 		ctx:    ctx,
 		cancel: cancel,
@@ -41,11 +41,14 @@
 		up:     make(map[identifier.VMID]*session),
 		known:  make(map[identifier.VMID]peermessenger.PeerAddress),
 	}
-	for _, address := range opts.Seeds {
+}
+
+// Start links to the seeds, and to all peers that they know of.
+func (l *Linker) Start() {
+	for _, address := range l.opts.Seeds {
 		l.Connect(address)
 	}
 	l.group.Go(l.shareTable)
-	return l
 }
 
 // Connect keeps a link to the peer at an address from now on.
--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -52,6 +52,8 @@
 	601: reflect.TypeFor[ProfilePull](),
 	602: reflect.TypeFor[ProfileChanges](),
 	603: reflect.TypeFor[ProfileBook](),
+	700: reflect.TypeFor[ReportQuery](),
+	701: reflect.TypeFor[ReportReply](),
 }
 
 var (
--- /dev/null
+++ b/internal/peermessenger/inquirymessages.go
@@ -0,0 +1,25 @@
+package peermessenger
+
+// ReportKind names a report that a peer can be asked for.
+type ReportKind uint8
+
+// The kinds of reports.
+const (
+	StatusReport ReportKind = iota + 1 // what is in force on the peer
+	BurnReport                         // service-level figures of the peer
+)
+
+// ReportQuery asks a peer for a report.
+type ReportQuery struct {
+	Number RequestNumber `cbor:"1,keyasint"`
+	Kind   ReportKind    `cbor:"2,keyasint"`
+}
+
+// ReportReply answers ReportQuery.
+type ReportReply struct {
+	Number RequestNumber `cbor:"1,keyasint"`
+	Data   []byte        `cbor:"2,keyasint"` // in the format of the kind; empty: the peer has no such report
+}
+
+func (ReportQuery) isPeerMessage() {}
+func (ReportReply) isPeerMessage() {}
--- a/internal/runner/links.go
+++ b/internal/runner/links.go
@@ -19,10 +19,12 @@
 func (r *Runner) linkEvent(e peerlinker.Event) {
 	switch e := e.(type) {
 	case peerlinker.PeerUp:
-		r.links.up(e.Peer)
+		r.links.setUp(e.Peer)
+		r.follower.PeersChanged(r.links.forKeeper())
 		r.dispatchRing.put(dispatcher.PeerUp{Member: e.Peer.Member, Domain: e.Peer.Domain})
 	case peerlinker.PeerDown:
-		r.links.down(e.Peer)
+		r.links.setDown(e.Peer)
+		r.follower.PeersChanged(r.links.forKeeper())
 		r.dispatchRing.put(dispatcher.PeerDown{Member: e.Peer.Member})
 	case peerlinker.Received:
 		r.received(e)
@@ -34,6 +36,10 @@
 	switch e.Message.(type) {
 	case peermessenger.Heartbeat, peermessenger.RosterRequest, peermessenger.RosterReply:
 		r.rosterRing.put(enroller.PeerReceived{From: from, Message: e.Message})
+	case peermessenger.ProfileDigest, peermessenger.ProfilePull, peermessenger.ProfileChanges, peermessenger.ProfileBook:
+		r.follower.Received(from, e.Message)
+	case peermessenger.ReportQuery, peermessenger.ReportReply:
+		r.inquirer.Received(from, e.Message)
 	default:
 		r.dispatchRing.put(dispatcher.PeerReceived{From: from, Message: e.Message})
 	}
--- a/internal/runner/linktable.go
+++ b/internal/runner/linktable.go
@@ -1,42 +1,109 @@
 package runner
 
 import (
+	"slices"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peerlinker"
+	"github.com/peppertrack/peppertrack/internal/profilekeeper"
 )
 
-// linkTable holds the peers to which a link stands.
+// rememberDown is how long a peer is named as cut off after its link was lost.
+const rememberDown = 10 * time.Minute
+
+// linkTable holds the peers to which a link stands, and those that were lost
+// lately.
 type linkTable struct {
-	mu    sync.Mutex
-	peers map[identifier.Member]peerlinker.Peer
+	mu   sync.Mutex
+	up   map[identifier.VMID]peerlinker.Peer
+	lost map[identifier.VMID]lostPeer
+}
+
+// lostPeer is a peer whose link was lost.
+type lostPeer struct {
+	peer peerlinker.Peer
+	at   time.Time
 }
 
 func newLinkTable() *linkTable {
-	return &linkTable{peers: make(map[identifier.Member]peerlinker.Peer)}
+	return &linkTable{
+		up:   make(map[identifier.VMID]peerlinker.Peer),
+		lost: make(map[identifier.VMID]lostPeer),
+	}
 }
 
-func (t *linkTable) up(p peerlinker.Peer) {
+func (t *linkTable) setUp(p peerlinker.Peer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[p.Member] = p
+	t.up[p.Member.VM] = p
+	delete(t.lost, p.Member.VM)
 }
 
-func (t *linkTable) down(p peerlinker.Peer) {
+func (t *linkTable) setDown(p peerlinker.Peer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.peers, p.Member)
+	if t.up[p.Member.VM].Member != p.Member {
+		return // a later incarnation is linked already
+	}
+	delete(t.up, p.Member.VM)
+	t.lost[p.Member.VM] = lostPeer{peer: p, at: time.Now()}
 }
 
 // reaches reports whether a link to an entry VM of the failure domain stands.
 func (t *linkTable) reaches(domain identifier.FailureDomain) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range t.peers {
+	for _, p := range t.up {
 		if p.Domain == domain {
 			return true
 		}
 	}
 	return false
 }
+
+// linked returns the peers to which a link stands, by name.
+func (t *linkTable) linked() []peerlinker.Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	peers := make([]peerlinker.Peer, 0, len(t.up))
+	for _, p := range t.up {
+		peers = append(peers, p)
+	}
+	sortPeers(peers)
+	return peers
+}
+
+// cutOff returns the peers that were lost lately, by name.
+func (t *linkTable) cutOff() []peerlinker.Peer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var peers []peerlinker.Peer
+	for vm, l := range t.lost {
+		if time.Since(l.at) > rememberDown {
+			delete(t.lost, vm)
+			continue
+		}
+		peers = append(peers, l.peer)
+	}
+	sortPeers(peers)
+	return peers
+}
+
+func sortPeers(peers []peerlinker.Peer) {
+	slices.SortFunc(peers, func(a, b peerlinker.Peer) int {
+		return strings.Compare(string(a.Member.VM), string(b.Member.VM))
+	})
+}
+
+// forKeeper returns the linked peers as the keeper of profiles takes them.
+func (t *linkTable) forKeeper() []profilekeeper.Peer {
+	linked := t.linked()
+	peers := make([]profilekeeper.Peer, len(linked))
+	for i, p := range linked {
+		peers[i] = profilekeeper.Peer{Member: p.Member, Domain: p.Domain}
+	}
+	return peers
+}
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -9,7 +9,6 @@
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/platformcaller"
-	"github.com/peppertrack/peppertrack/internal/profileparser"
 	"github.com/peppertrack/peppertrack/internal/settingsloader"
 )
 
@@ -27,8 +26,6 @@
 	Platform    Platform // nil: a client of the settings' URL
 	// Dial connects to peers; nil: TCP. Tests use it to cut links.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Profiles are in force until the store or a peer gives others.
-	Profiles []profileparser.Profile
 }
 
 const (
--- a/internal/runner/profiles.go
+++ b/internal/runner/profiles.go
@@ -3,14 +3,47 @@
 import (
 	"github.com/peppertrack/peppertrack/internal/dispatcher"
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+	"github.com/peppertrack/peppertrack/internal/profilefollower"
+	"github.com/peppertrack/peppertrack/internal/profilekeeper"
 	"github.com/peppertrack/peppertrack/internal/profileparser"
+	"github.com/peppertrack/peppertrack/internal/profilewriter"
 )
 
-// adoptProfiles puts profiles in force.
-func (r *Runner) adoptProfiles(profiles []profileparser.Profile) {
-	byName := make(map[identifier.ProfileName]profileparser.Profile, len(profiles))
-	for _, p := range profiles {
-		byName[p.Name] = p
+// openProfiles starts to follow the book of profiles.
+func (r *Runner) openProfiles() {
+	r.follower = profilefollower.New(profilefollower.Options{
+		Self:    r.self,
+		Domain:  r.opts.Settings.FailureDomain,
+		Seed:    uint64(r.self.Incarnation),
+		Store:   r.platform,
+		Send:    func(to identifier.Member, m peermessenger.Message) { r.linker.Send(to, m) },
+		Adopted: r.adoptBook,
+	})
+	r.writer = profilewriter.New(profilewriter.Options{
+		Store:   r.platform,
+		Known:   r.follower.Book,
+		Written: r.follower.Written,
+		Seed:    uint64(r.self.Incarnation),
+	})
+}
+
+// knowsProfiles reports whether the store or a peer has told the profiles.
+func (r *Runner) knowsProfiles() bool {
+	status := r.follower.Status()
+	return status.Verified || status.Version > 0
+}
+
+// ProfileVersion returns the version of the book of profiles in force here.
+func (r *Runner) ProfileVersion() identifier.ProfileVersion { return r.follower.Status().Version }
+
+// adoptBook puts a book of profiles and tokens in force.
+func (r *Runner) adoptBook(book profilekeeper.Book) {
+	r.auth.Load(book.Tokens)
+	byName := make(map[identifier.ProfileName]profileparser.Profile, len(book.Profiles))
+	for _, entry := range book.Profiles {
+		byName[entry.Profile.Name] = entry.Profile
 	}
 	r.dispatchRing.put(dispatcher.ProfilesAdopted{Profiles: byName})
+	_ = r.opts.Logger.Log("level", "info", "msg", "profiles in force", "version", book.Version)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,8 +19,12 @@
 	"github.com/peppertrack/peppertrack/internal/dispatcher"
 	"github.com/peppertrack/peppertrack/internal/enroller"
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peerinquirer"
 	"github.com/peppertrack/peppertrack/internal/peerlinker"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
 	"github.com/peppertrack/peppertrack/internal/platformcaller"
+	"github.com/peppertrack/peppertrack/internal/profilefollower"
+	"github.com/peppertrack/peppertrack/internal/profilewriter"
 )
 
 // Runner is the daemon of one entry VM.
@@ -36,6 +40,9 @@
 	backends     *backends
 	linker       *peerlinker.Linker
 	links        *linkTable
+	inquirer     *peerinquirer.Inquirer
+	follower     *profilefollower.Follower
+	writer       *profilewriter.Writer
 	auth         *authenticator.Authenticator
 	certificates *certificateloader.Loader // nil: plain links
 	counters     dispatcher.Counters
@@ -125,6 +132,10 @@
 	if err := r.openCertificates(); err != nil {
 		return err
 	}
+	r.inquirer = peerinquirer.New(peerinquirer.Options{
+		Send:   func(to identifier.Member, m peermessenger.Message) bool { return r.linker.Send(to, m) },
+		Answer: r.ownReport,
+	})
 	r.linker = peerlinker.New(peerlinker.Options{
 		Self:   peerlinker.Peer{Member: r.self, Domain: r.opts.Settings.FailureDomain, Address: r.listeners.peers.Addr().String()},
 		Seeds:  r.opts.Settings.Peers,
@@ -133,8 +144,9 @@
 		Dial:   r.opts.Dial,
 		TLS:    r.clientTLS(),
 	})
+	r.openProfiles()
 	r.startDuties(ctx)
-	r.adoptProfiles(r.opts.Profiles)
+	r.linker.Start()
 	r.serve()
 	return nil
 }
@@ -216,7 +228,7 @@
 	r.draining.Store(true)
 	r.closeServers()
 	r.cancel()
-	err := r.linker.Close()
+	err := errors.CombineErrors(r.linker.Close(), r.follower.Close())
 	r.backends.Close()
 	if r.certificates != nil {
 		r.certificates.Close()
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -11,6 +11,7 @@
 	"github.com/peppertrack/peppertrack/internal/callerserver"
 	"github.com/peppertrack/peppertrack/internal/enroller"
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/operatorserver"
 )
 
 // serve starts the HTTP servers.
@@ -58,9 +59,10 @@
 	})
 }
 
-// Ready reports whether new requests should be sent here.
+// Ready reports whether new requests should be sent here: a roster holds this
+// process, it knows which profiles are in force, and it does not shut down.
 func (r *Runner) Ready() bool {
-	return r.joined.Load() && !r.draining.Load()
+	return r.joined.Load() && !r.draining.Load() && r.knowsProfiles()
 }
 
 func (r *Runner) authenticate(request *http.Request) (identifier.Team, error) {
@@ -86,5 +88,12 @@
 func (r *Runner) operatorsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", r.metricsHandler())
+	mux.Handle("/", operatorserver.New(operatorserver.Options{
+		Operators: r.auth,
+		Writer:    r.writer,
+		Book:      r.follower.Book,
+		Status:    statusSource{r},
+		Logger:    r.opts.Logger,
+	}))
 	return mux
 }
--- a/internal/systemrunner/options.go
+++ b/internal/systemrunner/options.go
@@ -14,7 +14,7 @@
 	VMsPerDomain     int
 	BackendServers   int // over all failure domains
 	SlotsPerServer   identifier.Slots
-	Profiles         []profileparser.Profile
+	Profiles         []profileparser.Profile // created at the start
 	Logger           log.Logger
 	AdjustVMSettings func(*settingsloader.Settings) // nil: the defaults
 }
--- a/internal/systemrunner/system.go
+++ b/internal/systemrunner/system.go
@@ -27,6 +27,7 @@
 	platform *platformserver.Server
 	url      string
 	fleet    *backendserver.Fleet
+	version  identifier.ProfileVersion // of the book of profiles at the start
 	group    errgroup.Group
 
 	mu      sync.Mutex
@@ -41,6 +42,9 @@
 	if err := s.startPlatform(); err != nil {
 		return nil, err
 	}
+	if err := s.createProfiles(); err != nil {
+		return nil, errors.CombineErrors(err, s.Close())
+	}
 	if err := s.startFleet(); err != nil {
 		return nil, errors.CombineErrors(err, s.Close())
 	}
@@ -86,7 +90,6 @@
 	r, err := runner.Start(runner.Options{
 		Settings: s.settings(vm, domain),
 		Logger:   s.opts.Logger,
-		Profiles: s.opts.Profiles,
 		Dial:     s.links.dialer(domain),
 	})
 	if err != nil {
@@ -194,7 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.runners {
-		if !r.Ready() {
+		if !r.Ready() || r.ProfileVersion() < s.version {
 			return false
 		}
 	}
