test(claimer): direct the known counterexamples at the protocol

Cause: each rule of the protocol needs a test that fails without it. Age is checked at decision time, and what is known of gone members and outboxes is bounded.

--- a/internal/claimer/ask.go
+++ b/internal/claimer/ask.go
@@ -46,12 +46,8 @@
 		c.deny(a, declarer.Refused{Cause: declarer.BadRequest, Detail: err.Error()})
 		return
 	}
-	if ending := c.checkAge(a); ending != nil {
-		c.deny(a, ending)
-		return
-	}
 	if earlier := c.undecided(a.id); earlier != nil {
-		if !earlier.sameBody(a.digest, a.team) {
+		if !c.sameBody(earlier, a.digest, a.team) {
 			c.deny(a, bodyMismatch())
 		}
 		return
@@ -64,8 +60,10 @@
 	c.decide(a)
 }
 
-func (a *ask) sameBody(digest identifier.Digest, team identifier.Team) bool {
-	return a.digest == digest && a.team == team
+// sameBody reports whether an ask is for the work that a digest and a team stand
+// for.
+func (c *Claimer) sameBody(a *ask, digest identifier.Digest, team identifier.Team) bool {
+	return a.digest == digest && a.team == team || c.opts.defects.ignoreBody
 }
 
 // undecided returns the ask of an id that is not decided yet, or nil.
@@ -98,6 +96,10 @@
 
 // decide answers an ask, or leaves it among the waiting ones.
 func (c *Claimer) decide(a *ask) {
+	if ending := c.checkAge(a); ending != nil {
+		c.deny(a, ending)
+		return
+	}
 	r := c.records.get(a.id)
 	if r != nil && r.Runner == c.opts.Self {
 		c.answerOwn(a, r)
@@ -126,7 +128,7 @@
 // answerOwn answers an ask for a job that was granted here.
 func (c *Claimer) answerOwn(a *ask, r *peermessenger.ClaimRecord) {
 	switch {
-	case !a.sameBody(r.Digest, r.Team):
+	case !c.sameBody(a, r.Digest, r.Team):
 		c.deny(a, bodyMismatch())
 	case r.Kind == peermessenger.NotEnded:
 		c.answer(a, ClaimJoined{Submission: a.id, Digest: a.digest})
@@ -138,8 +140,10 @@
 // decideRecorded decides at the home about a job that was granted elsewhere.
 func (c *Claimer) decideRecorded(a *ask, r *peermessenger.ClaimRecord) {
 	switch {
-	case !a.sameBody(r.Digest, r.Team):
+	case !c.sameBody(a, r.Digest, r.Team):
 		c.deny(a, bodyMismatch())
+	case endingOf(r) != nil && c.opts.defects.unconfirmedEnding:
+		c.denyKept(a, r)
 	case endingOf(r) != nil:
 		kept := *r
 		c.claim(a, &kept) // the witness confirms that no later home has decided otherwise
@@ -186,6 +190,9 @@
 }
 
 func (c *Claimer) timeOutAsks() {
+	if c.opts.defects.waitForever {
+		return
+	}
 	for _, id := range sortedIDs(c.waiting) {
 		if a := c.waiting[id]; c.now.Sub(a.since) >= c.opts.ClaimTimeout {
 			c.deny(a, c.unreachable("the VMs that hold the claims of this id don't answer"))
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -38,7 +38,7 @@
 	queries map[identifier.SubmissionID]*query   // to runners
 
 	fetches map[identifier.Member]*fetch
-	gone    map[identifier.Member]bool
+	gone    map[identifier.Member]time.Time            // since when that is known
 	latest  map[identifier.VMID]identifier.Incarnation // seen on rosters
 	silent  map[identifier.Member]bool                 // lost, and not heard since
 
@@ -64,7 +64,7 @@
 		pending:  map[identifier.SubmissionID]*pending{},
 		queries:  map[identifier.SubmissionID]*query{},
 		fetches:  map[identifier.Member]*fetch{},
-		gone:     map[identifier.Member]bool{},
+		gone:     map[identifier.Member]time.Time{},
 		latest:   map[identifier.VMID]identifier.Incarnation{},
 		silent:   map[identifier.Member]bool{},
 		outboxes: map[identifier.Member]*outbox{},
@@ -168,6 +168,7 @@
 	c.roster = r
 	c.learnPairs(r)
 	c.learnIncarnations(r)
+	c.forgetGone(r)
 	c.retargetOutboxes()
 	c.advance()
 	c.advanceDrain()
@@ -202,6 +203,25 @@
 	}
 }
 
+// forgetGone drops what is known of members that no roster and no record can
+// mention any more.
+func (c *Claimer) forgetGone(r *enroller.Roster) {
+	for m, since := range c.gone {
+		if _, ok := r.Address(m); !ok && c.now.Sub(since) > goneMargin*c.opts.Retention {
+			delete(c.gone, m)
+		}
+	}
+	for m := range c.silent {
+		if _, ok := r.Address(m); !ok {
+			delete(c.silent, m)
+		}
+	}
+}
+
+// goneMargin is the time for which members are known to be gone, in multiples of
+// the retention.
+const goneMargin = 2
+
 // pair returns the pair of a shard in the epoch of the roster in force.
 func (c *Claimer) pair(s Shard) Pair {
 	return c.pairs[c.roster.Epoch][s]
@@ -209,14 +229,15 @@
 
 // isGone reports whether a member's process is proved to have ended.
 func (c *Claimer) isGone(m identifier.Member) bool {
-	return c.gone[m] || c.latest[m.VM] > m.Incarnation
+	_, gone := c.gone[m]
+	return gone || c.latest[m.VM] > m.Incarnation
 }
 
 func (c *Claimer) memberGone(m identifier.Member) {
 	if m == c.opts.Self {
 		return
 	}
-	c.gone[m] = true
+	c.gone[m] = c.now
 	delete(c.fetches, m)
 	c.advance()
 }
--- a/internal/claimer/handover.go
+++ b/internal/claimer/handover.go
@@ -37,6 +37,9 @@
 			continue
 		}
 		o := c.outbox(m)
+		if len(o.queue) >= c.opts.MaxRecords {
+			continue // the receiver lacks an ending if this VM dies
+		}
 		o.queue = append(o.queue, id)
 		receivers++
 	}
--- a/internal/claimer/model_test.go
+++ b/internal/claimer/model_test.go
@@ -423,6 +423,8 @@
 		{"any earlier whole member", defects{askAnyEarlierWhole: true}, 0},
 		{"an epoch is skipped", defects{skipEpoch: true}, 70},
 		{"loss is guessed", defects{guessLoss: true}, 320},
+		{"another body is ignored", defects{ignoreBody: true}, 0},
+		{"asks wait for ever", defects{waitForever: true}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/claimer/options.go
+++ b/internal/claimer/options.go
@@ -48,6 +48,10 @@
 	askAnyEarlierWhole  bool // takeover asks the members of every earlier epoch at once
 	skipEpoch           bool // takeover passes over the latest earlier epoch
 	guessLoss           bool // takeover takes lost members for gone
+	unconfirmedEnding   bool // the home answers with endings of other runners without its witness
+	vowWithoutPromise   bool // a runner answers queries without a promise
+	ignoreBody          bool // asks with another body are taken for the same
+	waitForever         bool // asks that can't be decided are never denied
 }
 
 func (o *Options) setDefaults() {
--- a/internal/claimer/query.go
+++ b/internal/claimer/query.go
@@ -44,7 +44,9 @@
 // vow never to start the submission under it; the promise of the asker's epoch
 // makes it true for claims that the witness has not answered yet.
 func (c *Claimer) queryClaim(from identifier.Member, m peermessenger.QueryClaim) {
-	c.promiseTo(from, m.Epoch)
+	if !c.opts.defects.vowWithoutPromise {
+		c.promiseTo(from, m.Epoch)
+	}
 	reply := peermessenger.ClaimState{Claim: m.Claim}
 	if r := c.records.get(m.Claim.Submission); r != nil && r.Runner == c.opts.Self {
 		reply.Known = true
