fix(loader): count a job that was cancelled as asked as answered well

Cause: the goodput of a cancellation wave counted every cancelled job as lost, and no second with one as recovered.

Change: a job that its caller cancelled and whose answer says so counts as good; it enters no response time.

--- a/internal/loader/recorder.go
+++ b/internal/loader/recorder.go
@@ -28,6 +28,7 @@
 	ideal    time.Duration
 	inTime   bool
 	whole    bool // complete, with every output checked
+	asAsked  bool // cancelled by the caller and answered so
 }
 
 // recorder collects outcomes and observations. It is safe for concurrent use.
@@ -89,7 +90,7 @@
 
 func (s *series) record(o outcome) {
 	s.offered++
-	if o.whole && o.inTime {
+	if o.whole && o.inTime || o.asAsked {
 		s.good++
 	}
 	if !o.whole {
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -64,7 +64,7 @@
 // the ideal: the job's longest task and one network round trip.
 type Figures struct {
 	Offered int     `json:"offered"`
-	Good    int     `json:"good"` // complete, checked and in time
+	Good    int     `json:"good"` // complete, checked and in time, or cancelled as asked
 	Goodput float64 `json:"goodput"`
 	P50     float64 `json:"p50"`
 	P99     float64 `json:"p99"`
--- a/internal/loader/request.go
+++ b/internal/loader/request.go
@@ -47,7 +47,8 @@
 // first sends a job's first request and records how the job ended.
 func (r *run) first(ctx context.Context, s *jobsubmitter.Submitter, submission jobsubmitter.Submission, job PlannedJob) {
 	done := make(chan struct{})
-	r.wg.Go(func() { r.cancelInWave(ctx, s, submission.ID, job, done) })
+	cancelled := make(chan bool, 1)
+	r.wg.Go(func() { cancelled <- r.cancelInWave(ctx, s, submission.ID, job, done) })
 	observation := r.ask(ctx, s, submission)
 	close(done)
 	o := outcome{
@@ -59,6 +60,8 @@
 	answer, isComplete := observation.Ending.(declarer.Complete)
 	o.whole = isComplete && len(answer.Outputs) == len(submission.Tasks) && len(observation.WrongOutputs) == 0
 	o.inTime = submission.Deadline == 0 || o.response <= submission.Deadline
+	failed, isFailed := observation.Ending.(declarer.Failed)
+	o.asAsked = <-cancelled && isFailed && failed.Cause == declarer.Cancelled
 	r.recorder.record(o)
 }
 
@@ -104,10 +107,11 @@
 	return false, ""
 }
 
-// cancelInWave cancels a job that is in flight when a wave takes it.
+// cancelInWave cancels a job that is in flight when a wave takes it, and says
+// whether it did.
 func (r *run) cancelInWave(
 	ctx context.Context, s *jobsubmitter.Submitter, id identifier.SubmissionID, job PlannedJob, done <-chan struct{},
-) {
+) (cancelled bool) {
 	for i, wave := range r.opts.Workload.CancelWaves {
 		if !job.Cancels[i] || wave.At < job.At {
 			continue
@@ -120,9 +124,11 @@
 			timer.Stop()
 		case <-timer.C:
 			_, _ = s.Cancel(ctx, id) // the job's own answer says how it ended
+			cancelled = true
 		}
-		return
+		return cancelled
 	}
+	return false
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
