--- a/internal/claimer/world_test.go
+++ b/internal/claimer/world_test.go
@@ -698,11 +698,7 @@
 }
 
 func (w *world) settleStep(interval time.Duration) {
-	for _, p := range w.running() {
-		if p.storeOp != nil {
-			w.answerStore(p, storeAnswers)
-		}
-	}
+	w.answerStores()
 	for n := len(w.packets); n > 0 && len(w.packets) > 0; n-- {
 		w.deliver(0)
 	}
@@ -718,6 +714,14 @@
 	w.tickAll(interval)
 }
 
+func (w *world) answerStores() {
+	for _, p := range w.running() {
+		if p.storeOp != nil {
+			w.answerStore(p, storeAnswers)
+		}
+	}
+}
+
 // heal ends all faults. VMs whose process is dead get a new one, or are deleted
 // and disappear from the platform's list.
 func (w *world) heal() {
