feat(burnreporter,peppertrack): report on service-level burn

Cause: nobody could see how fast a profile uses up its error budget. Change: each entry VM records the jobs that end there, in buckets and mergeable histograms of bounded size; 'peppertrack report' merges all entry VMs as text, JSON or a page with plots, and names those whose figures are missing. Conclusion: budgets reach back 6 hours, since VMs keep nothing over a restart.

--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -34,6 +34,7 @@
 		newHandoverCmd(),
 		newConfigCmd(),
 		newTryCmd(),
+		newReportCmd(),
 		newVersionCmd(),
 	)
 	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
--- a/internal/dispatcher/claims.go
+++ b/internal/dispatcher/claims.go
@@ -97,7 +97,7 @@
 		case claimer.ClaimJoined:
 			// The job runs here, and its waiters are with it already.
 		case claimer.ClaimDenied:
-			m.claimDenied(effect)
+			m.claimDenied(now, effect)
 		case claimer.ClaimForward:
 			m.claimForwarded(now, effect)
 		case claimer.RecordsWhole:
@@ -128,7 +128,7 @@
 	m.start(now, j)
 }
 
-func (m *Machine) claimDenied(e claimer.ClaimDenied) {
+func (m *Machine) claimDenied(now time.Time, e claimer.ClaimDenied) {
 	j := m.asking(e.Submission, e.Digest)
 	if j == nil {
 		return
@@ -136,6 +136,9 @@
 	delete(m.jobs, e.Submission)
 	ending := tellable(e.Ending)
 	m.count(ending)
+	if _, ok := ending.(declarer.Unverifiable); ok {
+		m.observe(now, j, ending)
+	}
 	for _, w := range j.waiters {
 		m.replyEnding(w.requester, ending)
 	}
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -6,6 +6,7 @@
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
 )
 
 // Effect is an output of a Machine.
@@ -42,11 +43,12 @@
 
 // JobObserved reports an ended job for the service-level reports.
 type JobObserved struct {
-	Team     identifier.Team
-	Profile  identifier.ProfileName
-	Ending   declarer.Ending
-	Response time.Duration // from arrival to ending
-	Ideal    time.Duration // the longest run time of a task; 0 when none ran
+	Team      identifier.Team
+	Profile   identifier.ProfileName
+	Objective profileparser.Objective
+	Ending    declarer.Ending
+	Response  time.Duration // from arrival to ending
+	Ideal     time.Duration // the longest run time of a task; 0 when none ran
 }
 
 // RecordsWhole reports that this entry VM holds all records of its shards in an epoch.
--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -140,18 +140,24 @@
 	}
 	m.claimerStep(now, claimer.JobEnded{Submission: j.job.Submission, Ending: ending})
 	m.count(ending)
-	m.emit(JobObserved{
-		Team:     j.job.Team,
-		Profile:  j.job.Profile,
-		Ending:   ending,
-		Response: now.Sub(j.arrived),
-		Ideal:    j.longest,
-	})
+	m.observe(now, j, ending)
 	for _, w := range j.waiters {
 		m.replyEnding(w.requester, ending)
 	}
 }
 
+// observe reports an ended job for the service-level reports.
+func (m *Machine) observe(now time.Time, j *runningJob, ending declarer.Ending) {
+	m.emit(JobObserved{
+		Team:      j.job.Team,
+		Profile:   j.job.Profile,
+		Objective: m.profiles[j.job.Profile].Objective,
+		Ending:    ending,
+		Response:  now.Sub(j.arrived),
+		Ideal:     j.longest,
+	})
+}
+
 // stopRunning asks for a stop of the job's running tasks at the next tick.
 func (m *Machine) stopRunning(j *runningJob) {
 	for i, state := range j.states {
--- a/internal/operatorserver/client.go
+++ b/internal/operatorserver/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/peppertrack/peppertrack/internal/burnreporter"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/profilekeeper"
 	"github.com/peppertrack/peppertrack/internal/profileparser"
@@ -109,6 +110,12 @@
 	return tokens, err
 }
 
+// Burn returns the service-level burn report of all entry VMs.
+func (c *Client) Burn(ctx context.Context) (report burnreporter.Report, err error) {
+	err = c.call(ctx, http.MethodGet, "burn", nil, &report)
+	return report, err
+}
+
 // Status returns what is in force on each VM.
 func (c *Client) Status(ctx context.Context) (statuses []VMStatus, err error) {
 	err = c.call(ctx, http.MethodGet, "status", nil, &statuses)
--- a/internal/operatorserver/queries.go
+++ b/internal/operatorserver/queries.go
@@ -117,3 +117,7 @@
 	}
 	return list
 }
+
+func (s *server) burn(ctx context.Context, _ string, _ *http.Request) (any, error) {
+	return s.opts.Burn.Burn(ctx)
+}
--- a/internal/operatorserver/server.go
+++ b/internal/operatorserver/server.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
+	"github.com/peppertrack/peppertrack/internal/burnreporter"
 	"github.com/peppertrack/peppertrack/internal/profilekeeper"
 )
 
@@ -45,12 +46,20 @@
 	Status(ctx context.Context) ([]VMStatus, error)
 }
 
+// BurnSource reports how fast the error budgets of all profiles are used up.
+type BurnSource interface {
+	// Burn returns the merged report of all entry VMs that can be reached. It
+	// names the others.
+	Burn(ctx context.Context) (burnreporter.Report, error)
+}
+
 // Options configure the server.
 type Options struct {
 	Operators Authenticator
 	Writer    Writer
 	Book      func() profilekeeper.Book // in force on this VM
 	Status    StatusSource
+	Burn      BurnSource
 	Logger    log.Logger
 }
 
@@ -70,6 +79,7 @@
 	mux.HandleFunc("GET "+pathPrefix+"history", s.query(s.history))
 	mux.HandleFunc("GET "+pathPrefix+"tokens", s.query(s.tokens))
 	mux.HandleFunc("GET "+pathPrefix+"status", s.query(s.status))
+	mux.HandleFunc("GET "+pathPrefix+"burn", s.query(s.burn))
 	mux.HandleFunc("GET "+pathPrefix+"handover", s.query(s.handover))
 	mux.HandleFunc(pathPrefix, s.query(func(context.Context, string, *http.Request) (any, error) {
 		return nil, &noSuchPathError{}
--- /dev/null
+++ b/internal/runner/burn.go
@@ -0,0 +1,63 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/burnreporter"
+	"github.com/peppertrack/peppertrack/internal/dispatcher"
+	"github.com/peppertrack/peppertrack/internal/operatorserver"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// observe records an ended job.
+func (r *Runner) observe(e dispatcher.JobObserved) {
+	r.burn.Observe(time.Now(), burnreporter.Observation{
+		Team:     e.Team,
+		Profile:  e.Profile,
+		Ending:   e.Ending,
+		Response: e.Response,
+		Ideal:    e.Ideal,
+		Objective: burnreporter.Objective{
+			Target:            e.Objective.Target,
+			ResponseOverIdeal: e.Objective.ResponseOverIdeal,
+		},
+	})
+}
+
+// burnSource merges the figures of all entry VMs. It implements
+// operatorserver.BurnSource.
+type burnSource struct{ runner *Runner }
+
+var _ operatorserver.BurnSource = burnSource{}
+
+// Burn implements operatorserver.BurnSource.
+func (s burnSource) Burn(ctx context.Context) (burnreporter.Report, error) {
+	r := s.runner
+	now := time.Now()
+	own, err := r.burn.Snapshot(now, r.self)
+	if err != nil {
+		return burnreporter.Report{}, err
+	}
+	snapshots := []burnreporter.Snapshot{own}
+	var missing []burnreporter.Missing
+	for _, answer := range r.inquire(ctx, peermessenger.BurnReport) {
+		snapshot, err := decodeBurn(answer.Data, answer.Err)
+		if err != nil {
+			missing = append(missing, burnreporter.Missing{VM: answer.Member.VM, Reason: err.Error()})
+			continue
+		}
+		snapshots = append(snapshots, snapshot)
+	}
+	for _, p := range r.links.cutOff() {
+		missing = append(missing, burnreporter.Missing{VM: p.Member.VM, Reason: "no link to it stands"})
+	}
+	return burnreporter.Merge(now, snapshots, missing)
+}
+
+func decodeBurn(data []byte, err error) (burnreporter.Snapshot, error) {
+	if err != nil {
+		return burnreporter.Snapshot{}, err
+	}
+	return burnreporter.Decode(data)
+}
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -19,6 +19,7 @@
 	case dispatcher.RecordsWhole:
 		r.rosterRing.offer(enroller.RecordsWhole{Epoch: e.Epoch})
 	case dispatcher.JobObserved:
+		r.observe(e)
 	case dispatcher.Drained:
 		close(r.drained)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -15,6 +15,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/authenticator"
 	"github.com/peppertrack/peppertrack/internal/backendcaller"
+	"github.com/peppertrack/peppertrack/internal/burnreporter"
 	"github.com/peppertrack/peppertrack/internal/certificateloader"
 	"github.com/peppertrack/peppertrack/internal/dispatcher"
 	"github.com/peppertrack/peppertrack/internal/enroller"
@@ -46,6 +47,7 @@
 	auth         *authenticator.Authenticator
 	certificates *certificateloader.Loader // nil: plain links
 	counters     dispatcher.Counters
+	burn         *burnreporter.Recorder
 
 	listeners listeners
 	servers   []*http.Server
@@ -68,6 +70,7 @@
 	}
 	r = &Runner{
 		opts:    opts,
+		burn:    burnreporter.NewRecorder(),
 		self:    identifier.Member{VM: opts.Settings.VM, Incarnation: opts.Incarnation},
 		drained: make(chan struct{}),
 	}
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -93,6 +93,7 @@
 		Writer:    r.writer,
 		Book:      r.follower.Book,
 		Status:    statusSource{r},
+		Burn:      burnSource{r},
 		Logger:    r.opts.Logger,
 	}))
 	return mux
--- a/internal/runner/status.go
+++ b/internal/runner/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/peppertrack/peppertrack/internal/burnreporter"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/operatorserver"
 	"github.com/peppertrack/peppertrack/internal/peerinquirer"
@@ -90,6 +91,12 @@
 	switch kind {
 	case peermessenger.StatusReport:
 		return json.Marshal(r.ownStatus())
+	case peermessenger.BurnReport:
+		snapshot, err := r.burn.Snapshot(time.Now(), r.self)
+		if err != nil {
+			return nil, err
+		}
+		return burnreporter.Encode(snapshot)
 	default:
 		return nil, errors.Newf("no report of kind %d", kind)
 	}
