--- a/cmd/pepperstand/internal/cmd/rootcmd.go
+++ b/cmd/pepperstand/internal/cmd/rootcmd.go
@@ -39,6 +39,7 @@
 		newExperimentCmd(),
 		newLoadCmd(),
 		newPlatformCmd(),
+		newSpreadCmd(),
 	)
 	return c
 }
--- a/cmd/peppertrack/internal/cmd/operatorclient.go
+++ b/cmd/peppertrack/internal/cmd/operatorclient.go
@@ -84,7 +84,7 @@
 	}
 	accepted, err = o.operatorClient().Change(cmd.Context(), id, f.reason, operations)
 	if err != nil {
-		reportRefusal(cmd.ErrOrStderr(), id, err)
+		reportRefusal(cmd.ErrOrStderr(), id, operations, err)
 		return accepted, operatorError(err)
 	}
 	return accepted, nil
@@ -92,17 +92,32 @@
 
 // reportRefusal tells what stands against a change, and how to settle one
 // without an answer.
-func reportRefusal(w io.Writer, id identifier.ChangeID, err error) {
+func reportRefusal(w io.Writer, id identifier.ChangeID, operations []profilekeeper.Operation, err error) {
 	var unreachable *operatorserver.UnreachableError
-	if errors.As(err, &unreachable) {
-		fmt.Fprintf(w, "The change may have been made. Repeat the command with --change-id %s to settle it.\n", id)
+	var refused *operatorserver.RefusedError
+	if !errors.As(err, &refused) && !errors.As(err, &unreachable) {
 		return
 	}
-	var refused *operatorserver.RefusedError
-	if !errors.As(err, &refused) {
+	if refused == nil || refused.Cause == operatorserver.OutcomeUnknown {
+		fmt.Fprintf(w, "The change may have been made. Repeat the command with --change-id %s%s to settle it.\n", id, baseFlag(operations))
 		return
 	}
 	for _, c := range refused.Changes {
 		fmt.Fprintf(w, "version %d: %s by %s at %s: %s\n", c.Version, c.Kind, c.Author, c.At.Format(time.RFC3339), c.Reason)
 	}
 }
+
+// baseFlag returns the flag that makes a repeated command ask for the same
+// change of one profile.
+func baseFlag(operations []profilekeeper.Operation) string {
+	if len(operations) != 1 {
+		return ""
+	}
+	switch o := operations[0].(type) {
+	case profilekeeper.ChangeProfile:
+		return fmt.Sprintf(" --base %d", o.Base)
+	case profilekeeper.RetireProfile:
+		return fmt.Sprintf(" --base %d", o.Base)
+	}
+	return ""
+}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -12,6 +12,7 @@
 		"dispatcher": func() any { return r.counters.Snapshot() },
 		"peers":      func() any { return r.linker.Counts() },
 		"backends":   func() any { return r.backends.caller.Messages() },
+		"profiles":   func() any { return r.follower.Status() },
 		"member":     func() any { return r.self.String() },
 	})
 }
