--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -54,32 +54,49 @@
 // pairTable holds the pair of each shard in one epoch.
 type pairTable [ShardCount]Pair
 
-// newPairTable ranks the members that are not leaving by rendezvous hash: for
-// each shard the highest becomes the home and the next the witness.
+// newPairTable returns the pair of each shard among the members of an epoch.
 func newPairTable(members []enroller.RosterMember) (table pairTable) {
-	var best [ShardCount][2]uint64
+	for s := range table {
+		table[s] = newPair(members, Shard(s))
+	}
+	return table
+}
+
+// newPair ranks the members that are not leaving by rendezvous hash: the highest
+// becomes the home and the next the witness.
+func newPair(members []enroller.RosterMember, s Shard) (p Pair) {
+	var home, witness uint64
 	for _, entry := range members {
 		if entry.Leaving {
 			continue
 		}
-		key := entry.Member.String() + "/"
-		for s := range table {
-			h := xxhash.Sum64String(key + strconv.Itoa(s))
-			p, b := &table[s], &best[s]
-			switch {
-			case p.empty() || h > b[0]:
-				p.Witness, b[1] = p.Home, b[0]
-				p.Home, b[0] = entry.Member, h
-			case p.solo() || h > b[1]:
-				p.Witness, b[1] = entry.Member, h
-			}
+		h := rank(entry.Member, s)
+		switch {
+		case p.empty() || h > home:
+			p.Witness, witness = p.Home, home
+			p.Home, home = entry.Member, h
+		case p.solo() || h > witness:
+			p.Witness, witness = entry.Member, h
 		}
 	}
-	return table
+	return p
+}
+
+func rank(m identifier.Member, s Shard) uint64 {
+	var buf [rankBuffer]byte
+	key := append(buf[:0], m.VM...)
+	key = append(key, '#')
+	key = strconv.AppendUint(key, uint64(m.Incarnation), 10)
+	key = append(key, '/')
+	key = strconv.AppendUint(key, uint64(s), 10)
+	return xxhash.Sum64(key)
 }
 
+// rankBuffer is the room for the hashed key that most VM names need, in bytes.
+const rankBuffer = 64
+
 // PairOf returns the home and the witness of a submission under a roster. The
 // pair is empty when no member of the roster holds claims.
 func PairOf(r *enroller.Roster, id identifier.SubmissionID) Pair {
-	return newPairTable(r.Members)[shardOf(id)]
+	return newPair(r.Members, shardOf(id))
 }
