--- a/cmd/pepperstand/internal/cmd/backendcmd.go
+++ b/cmd/pepperstand/internal/cmd/backendcmd.go
@@ -27,6 +27,7 @@
 	host           string
 	firstPort      int
 	admin          string
+	addressFile    string
 	platform       string
 	count          int
 	prefix         string
@@ -58,6 +59,7 @@
 	f.StringVar(&flags.host, "host", backendserver.DefaultHost, "IP number to listen on")
 	f.IntVar(&flags.firstPort, "first-port", 0, "port of the first server, the others follow; 0 takes free ones")
 	f.StringVar(&flags.admin, "admin", "127.0.0.1:0", "IP number and port of the administration; port 0 takes a free one")
+	f.StringVar(&flags.addressFile, "address-file", "", "file into which the address of --admin is written")
 	f.StringVar(&flags.platform, "platform", "", "URL of the platform's service; empty registers nowhere")
 	f.IntVar(&flags.count, "count", 8, "number of backend servers")
 	f.StringVar(&flags.prefix, "prefix", "backend", "prefix of the servers' ids, which two processes must not share")
@@ -76,13 +78,22 @@
 	if _, err := netip.ParseAddr(f.host); err != nil {
 		return errors.Newf("--host: %q is not an IP number", f.host)
 	}
-	for flag, n := range map[string]int64{
-		"--count": int64(f.count), "--rack-size": int64(f.rackSize), "--slots": int64(f.slots),
-		"--connections": int64(f.connections), "--millicores": f.millicores, "--memory-mebibytes": f.memory,
-		"--usage-lag": int64(f.usageLag),
+	if f.usageLag <= 0 {
+		return errors.Newf("--usage-lag: %v is not above 0", f.usageLag)
+	}
+	for _, limit := range []struct {
+		flag string
+		n    int64
+	}{
+		{"--count", int64(f.count)},
+		{"--rack-size", int64(f.rackSize)},
+		{"--slots", int64(f.slots)},
+		{"--connections", int64(f.connections)},
+		{"--millicores", f.millicores},
+		{"--memory-mebibytes", f.memory},
 	} {
-		if n < 1 {
-			return errors.Newf("%s: need at least 1", flag)
+		if limit.n < 1 {
+			return errors.Newf("%s: %d is below 1", limit.flag, limit.n)
 		}
 	}
 	return nil
@@ -123,14 +134,13 @@
 		defer client.Close()
 		opts.Registrar = client
 	}
-	l, err := listen("--admin", flags.admin)
+	fleet, err := backendserver.NewFleet(opts)
 	if err != nil {
 		return err
 	}
-	fleet, err := backendserver.NewFleet(opts)
+	l, err := listenAndTell("--admin", flags.admin, flags.addressFile)
 	if err != nil {
-		_ = l.Close() // the first error counts
-		return err
+		return errors.CombineErrors(err, fleet.Close())
 	}
 	fmt.Fprintf(c.OutOrStdout(), "administration listening on http://%s\n", l.Addr())
 	admin := &http.Server{Handler: fleet.Handler(), ReadHeaderTimeout: administrationHeaderTimeout}
--- a/cmd/pepperstand/internal/cmd/platformcmd.go
+++ b/cmd/pepperstand/internal/cmd/platformcmd.go
@@ -13,10 +13,11 @@
 )
 
 type platformFlags struct {
-	listen     string
-	watchBound time.Duration
-	listLag    time.Duration
-	seed       uint64
+	listen      string
+	addressFile string
+	watchBound  time.Duration
+	listLag     time.Duration
+	seed        uint64
 }
 
 func newPlatformCmd() *cobra.Command {
@@ -34,6 +35,7 @@
 	}
 	f := c.Flags()
 	f.StringVar(&flags.listen, "listen", "127.0.0.1:7070", "IP number and port to listen on; port 0 takes a free one")
+	f.StringVar(&flags.addressFile, "address-file", "", "file into which the address of --listen is written")
 	f.DurationVar(&flags.watchBound, "watch-bound", 30*time.Second, "how long a watch waits for a change")
 	f.DurationVar(&flags.listLag, "list-lag", time.Second, "how far the list of VMs lags behind")
 	f.Uint64Var(&flags.seed, "seed", 1, "seed of the faults that come by chance")
@@ -54,7 +56,7 @@
 	if err := flags.check(); err != nil {
 		return err
 	}
-	l, err := listen("--listen", flags.listen)
+	l, err := listenAndTell("--listen", flags.listen, flags.addressFile)
 	if err != nil {
 		return err
 	}
--- a/internal/platformcaller/client.go
+++ b/internal/platformcaller/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,8 +49,9 @@
 // New returns a Client. It makes no connection yet.
 func New(opts Options) (c *Client, err error) {
 	defer func() { err = errors.Wrap(err, "making the platform's client") }()
-	if _, err := http.NewRequest(http.MethodGet, opts.BaseURL, nil); err != nil || opts.BaseURL == "" {
-		return nil, errors.Newf("bad base URL %q", opts.BaseURL)
+	base, err := url.Parse(opts.BaseURL)
+	if err != nil || base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, errors.Newf("base URL: %q is not of the form http://address:port", opts.BaseURL)
 	}
 	if opts.Timeout == 0 {
 		opts.Timeout = DefaultTimeout
