fix(platformcaller): give no answer to calls in progress when the service goes down

Cause: TestWriteGivesUp of profilefollower failed in 3 of 6 runs. A slow write that took effect at the very instant at which the service went down was still answered, or not, by the order of two goroutines. A real outage cuts off the answers of the calls in progress.

Change: a call in progress when the service goes down, or cuts its caller off, ends without an answer: a write's outcome is unknown, a read is unavailable. Ruled out: a fault of the writer, which settled what it was told.

The new test, with the outage before, at and after the effect, fails without the change.

Conclusion: the stand-in's answer no longer depends on the scheduler there.

--- a/internal/platformcaller/clock_test.go
+++ b/internal/platformcaller/clock_test.go
@@ -106,3 +106,24 @@
 		expectStates()
 	})
 }
+
+// TestCallInProgressGetsNoAnswerFromServiceThatGoesDown lets the service go
+// down before, at and after the moment at which a slow write takes effect.
+func TestCallInProgressGetsNoAnswerFromServiceThatGoesDown(t *testing.T) {
+	for _, downAfter := range []time.Duration{3 * time.Second, 5 * time.Second, 7 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			m := platformcaller.NewMemory(platformcaller.MemoryOptions{})
+			defer m.Close()
+			m.SetFaults(platformcaller.Faults{Delay: 10 * time.Second})
+			time.AfterFunc(downAfter, func() { m.SetFaults(platformcaller.Faults{Down: true}) })
+			read := make(chan error, 1)
+			go func() {
+				_, err := m.Get(t.Context(), "k")
+				read <- err
+			}()
+			_, err := m.Swap(t.Context(), "k", 0, []byte("one"))
+			expectError[*platformcaller.OutcomeUnknownError](t, err)
+			expectError[*platformcaller.UnavailableError](t, <-read)
+		})
+	}
+}
--- a/internal/platformcaller/memorycaller.go
+++ b/internal/platformcaller/memorycaller.go
@@ -219,7 +219,8 @@
 	return vms, c.leaveRead(ctx)
 }
 
-// enter counts a call and applies the faults that come before its effect.
+// enter counts a call and applies the faults that come before its effect. A
+// write that the service goes down on meanwhile gets no answer.
 func (c *MemoryCaller) enter(ctx context.Context, kind CallKind) error {
 	c.memory.mu.Lock()
 	c.memory.count(c.caller, kind)
@@ -232,7 +233,18 @@
 	if err := sleep(ctx, delay); err != nil {
 		return &UnavailableError{Detail: err.Error()}
 	}
-	return nil
+	err = c.reachNow()
+	if err != nil && (kind == SwapCall || kind == LeaseCall) {
+		return &OutcomeUnknownError{Detail: err.Error()}
+	}
+	return err
+}
+
+// reachNow is reach for a caller that does not hold the memory's mu.
+func (c *MemoryCaller) reachNow() error {
+	c.memory.mu.Lock()
+	defer c.memory.mu.Unlock()
+	return c.reach()
 }
 
 // reach returns an error if the caller can't reach the service. The caller
@@ -248,11 +260,12 @@
 	return nil
 }
 
+// leaveRead applies the faults that come after a read.
 func (c *MemoryCaller) leaveRead(ctx context.Context) error {
 	if err := sleep(ctx, c.memory.Faults().Delay/2); err != nil {
 		return &UnavailableError{Detail: err.Error()}
 	}
-	return nil
+	return c.reachNow()
 }
 
 // leaveWrite applies the faults that come after a write's effect.
@@ -268,6 +281,9 @@
 	if lost {
 		return &OutcomeUnknownError{Detail: "the answer was lost"}
 	}
+	if err := c.reachNow(); err != nil {
+		return &OutcomeUnknownError{Detail: err.Error()}
+	}
 	return nil
 }
 
