feat(limiter): share quotas between entry VMs

Cause: a team's quota holds over all entry VMs, which share no memory and may be cut off from one another. Change: each VM has a base share; parts are given from VM to VM by totals that only grow, so that lost, repeated and reordered messages never raise the sum; a VM below its base is given what another one has beyond its own; after a change of the list of VMs a share grows only when it has settled.

--- a/internal/limiter/admit.go
+++ b/internal/limiter/admit.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
-	"github.com/peppertrack/peppertrack/internal/identifier"
 )
 
 const (
@@ -26,11 +25,11 @@
 	if _, ok := l.jobs[r.Submission]; ok {
 		return &Refusal{Cause: declarer.BadRequest, Detail: "the submission is already queued"}
 	}
-	ln := l.lane(&r)
+	ln := l.lane(laneKey{team: r.Team, profile: r.Profile})
 	if ln == nil {
 		return l.refuse(declarer.QueueFull, "too many teams and profiles are in use at once")
 	}
-	l.setQuota(ln, r.Quota)
+	l.setQuota(now, ln, r.Quota)
 	work := totalWork(r.Tasks)
 	if refusal := l.checkQueue(&r, ln); refusal != nil {
 		return refusal
@@ -56,9 +55,8 @@
 	l.reorder(ln.team)
 }
 
-// lane returns the lane of a request, or nil when there are too many.
-func (l *Limiter) lane(r *Request) *lane {
-	key := laneKey{team: r.Team, profile: r.Profile}
+// lane returns the lane of a team and a profile, or nil when there are too many.
+func (l *Limiter) lane(key laneKey) *lane {
 	if ln, ok := l.lanes[key]; ok {
 		return ln
 	}
@@ -68,10 +66,10 @@
 	if len(l.lanes) >= l.opts.MaxLanes {
 		return nil
 	}
-	t, ok := l.teams[r.Team]
+	t, ok := l.teams[key.team]
 	if !ok {
-		t = &team{name: r.Team, weight: r.Weight, virtual: l.virtual, position: notQueued}
-		l.teams[r.Team] = t
+		t = &team{name: key.team, weight: 1, virtual: l.virtual, position: notQueued}
+		l.teams[key.team] = t
 	}
 	ln := &lane{key: key, team: t}
 	l.lanes[key] = ln
@@ -189,12 +187,3 @@
 func perSlot(work time.Duration, slots float64) time.Duration {
 	return time.Duration(float64(work) / max(1, slots))
 }
-
-// setQuota puts a quota in force on a lane.
-func (l *Limiter) setQuota(ln *lane, quota identifier.Slots) {
-	if ln.quota == quota {
-		return
-	}
-	ln.quota = quota
-	l.reorder(ln.team)
-}
--- a/internal/limiter/lane.go
+++ b/internal/limiter/lane.go
@@ -22,25 +22,25 @@
 	queuedWork time.Duration
 	running    identifier.Slots // dispatched tasks that have not ended
 	quota      identifier.Slots // over all entry VMs; 0: none
+	share      quotaShare       // this VM's part of the quota
 	counted    identifier.Slots // what the lane adds to the dispatchable tasks
 }
 
 // ready reports whether a task of the lane may be dispatched.
 func (l *lane) ready() bool {
-	return len(l.jobs) > 0 && (l.quota == 0 || l.running < l.share())
+	return len(l.jobs) > 0 && (l.quota == 0 || l.running < l.share.usable())
 }
 
 // dispatchable is the number of queued tasks that the quota lets run now.
 func (l *lane) dispatchable() identifier.Slots {
 	n := identifier.Slots(l.queued)
 	if l.quota > 0 {
-		n = min(n, l.share()-l.running)
+		n = min(n, l.share.usable()-l.running)
 	}
 	return max(0, n)
 }
 
-// share is this entry VM's part of the quota.
-func (l *lane) share() identifier.Slots { return l.quota }
-
 // idle reports whether the lane holds nothing that has to be kept.
-func (l *lane) idle() bool { return l.running == 0 && l.queued == 0 }
+func (l *lane) idle() bool {
+	return l.open == 0 && l.running == 0 && l.queued == 0 && !l.share.moved() && !l.share.settling
+}
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
 
 // priorityLead is how much earlier than it came a job counts as come, for each
@@ -30,7 +31,16 @@
 	active     int     // teams with queued or running tasks
 	capacity   identifier.Slots
 	members    int // entry VMs that share the capacity
-	queued     int // tasks
+	division   division
+	earlier    division // before the last change
+	settledAt  time.Time
+	settling   []*lane                                         // whose new share is not in force yet
+	askAt      time.Time                                       // of the next look for lanes that need a greater share
+	gifts      []pendingGift                                   // not confirmed
+	debts      []*lane                                         // that owe a part of their share
+	confirms   map[identifier.Member][]peermessenger.QuotaWish // for the next message to a giver
+	lost       map[identifier.Member]bool                      // other VMs that can't be reached
+	queued     int                                             // tasks
 	queuedWork time.Duration
 	running    identifier.Slots // dispatched tasks that have not ended
 	runWork    time.Duration    // expected of the running tasks
@@ -44,12 +54,14 @@
 func New(opts Options) *Limiter {
 	opts = opts.withDefaults()
 	return &Limiter{
-		opts:    opts,
-		teams:   make(map[identifier.Team]*team),
-		lanes:   make(map[laneKey]*lane),
-		jobs:    make(map[identifier.SubmissionID]*job),
-		members: 1,
-		retries: newTokenBucket(opts.RetryFraction),
+		opts:     opts,
+		teams:    make(map[identifier.Team]*team),
+		lanes:    make(map[laneKey]*lane),
+		jobs:     make(map[identifier.SubmissionID]*job),
+		members:  1,
+		confirms: make(map[identifier.Member][]peermessenger.QuotaWish),
+		lost:     make(map[identifier.Member]bool),
+		retries:  newTokenBucket(opts.RetryFraction),
 	}
 }
 
@@ -110,7 +122,7 @@
 // more than its share is kept until the others have caught up.
 func (l *Limiter) forgetIdle() {
 	for key, ln := range l.lanes {
-		if ln.open == 0 && ln.idle() {
+		if ln.idle() {
 			delete(l.lanes, key)
 			ln.team.drop(ln)
 		}
--- a/internal/limiter/step.go
+++ b/internal/limiter/step.go
@@ -1,19 +1,52 @@
 package limiter
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
 
 // Step applies an event and returns what follows from it.
-func (l *Limiter) Step(_ time.Time, e Event) []Effect {
+func (l *Limiter) Step(now time.Time, e Event) []Effect {
 	switch e := e.(type) {
 	case MembersSet:
-		l.members = max(1, len(e.Members))
-	case Tick:
-		if len(l.lanes) > l.opts.MaxLanes/2 {
-			l.forgetIdle()
-		}
-		if l.queued > 0 {
-			return []Effect{QuotaFreed{}}
+		l.setMembers(now, e.Members)
+		clear(l.lost)
+		return []Effect{QuotaFreed{}}
+	case PeerLost:
+		if slices.Contains(l.division.members, e.Member) {
+			l.lost[e.Member] = true
 		}
+	case PeerReceived:
+		return l.peerReceived(now, e)
+	case Tick:
+		return l.tick(now)
+	}
+	return nil
+}
+
+func (l *Limiter) peerReceived(now time.Time, e PeerReceived) []Effect {
+	delete(l.lost, e.From)
+	switch m := e.Message.(type) {
+	case peermessenger.QuotaAsk:
+		return l.quotaAsked(now, e.From, m)
+	case peermessenger.QuotaGive:
+		return l.quotaGiven(e.From, m)
 	}
 	return nil
 }
+
+func (l *Limiter) tick(now time.Time) []Effect {
+	if len(l.lanes) > l.opts.MaxLanes/2 {
+		l.forgetIdle()
+	}
+	freed := l.settleShares(now)
+	effects := l.payDebts(now)
+	effects = append(effects, l.askForShares(now)...)
+	effects = append(effects, l.repeatGifts(now)...)
+	if freed || len(l.parked) > 0 {
+		effects = append(effects, QuotaFreed{})
+	}
+	return effects
+}
--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -32,6 +32,9 @@
 	400: reflect.TypeFor[SlotAsk](),
 	401: reflect.TypeFor[SlotGrant](),
 	402: reflect.TypeFor[BackendsLeaving](),
+
+	500: reflect.TypeFor[QuotaAsk](),
+	501: reflect.TypeFor[QuotaGive](),
 	110: reflect.TypeFor[PeerTable](),
 
 	200: reflect.TypeFor[RecordClaim](),
