feat(quarantiner): close backend servers where tasks of several jobs fail

Cause: a backend server that fails everything at once draws the most work. Benchmarks of decisions and memory at four sizes each.

--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -32,6 +32,7 @@
 	400: reflect.TypeFor[SlotAsk](),
 	401: reflect.TypeFor[SlotGrant](),
 	402: reflect.TypeFor[BackendsLeaving](),
+	403: reflect.TypeFor[TasksFailed](),
 
 	500: reflect.TypeFor[QuotaAsk](),
 	501: reflect.TypeFor[QuotaGive](),
--- /dev/null
+++ b/internal/placer/bench_test.go
@@ -0,0 +1,76 @@
+package placer
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkBackend measures the memory and the time of taking in a backend server.
+func BenchmarkBackend(b *testing.B) {
+	for _, size := range []int{300, 1_000, 3_000, 31_000} {
+		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
+			backends := testBackends(size)
+			for range b.N {
+				before := heapBytes()
+				p := newTestPlacer(backends)
+				b.ReportMetric(float64(heapBytes()-before)/float64(size), "bytes/item")
+				runtime.KeepAlive(p)
+			}
+		})
+	}
+}
+
+// BenchmarkPlace measures placing a task and its end on a fleet at 70% of its
+// slots.
+func BenchmarkPlace(b *testing.B) {
+	for _, policy := range []Policy{Random{}, TwoChoices{}, Reserve{}} {
+		for _, size := range []int{50, 500, 5_000, 31_000} {
+			b.Run(fmt.Sprintf("policy=%T/size=%d", policy, size), func(b *testing.B) {
+				p := newTestPlacer(testBackends(size))
+				placed := p.Place(epoch, testWants(0, size*8*7/10, policy))
+				wants := testWants(1_000_000, 100, policy)
+				b.ResetTimer()
+				for n := 0; n < b.N; n += len(wants) {
+					for _, old := range placed[:len(wants)] {
+						p.Step(epoch, TaskEnded{Backend: old.Backend, Ref: old.Ref, Succeeded: true, RunTime: time.Second})
+					}
+					placed = append(placed[len(wants):], p.Place(epoch, wants)...)
+				}
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tasks/s")
+			})
+		}
+	}
+}
+
+// BenchmarkPeer measures the memory of another entry VM.
+func BenchmarkPeer(b *testing.B) {
+	for _, size := range []int{10, 30, 100, 300} {
+		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
+			members := make([]DomainMember, size)
+			for i := range members {
+				members[i] = DomainMember{
+					Member: identifier.Member{VM: identifier.VMID(fmt.Sprint("vm", i)), Incarnation: 1},
+					Domain: identifier.FailureDomain(fmt.Sprint("d", i%18)),
+				}
+			}
+			for range b.N {
+				p := newTestPlacer(nil)
+				before := heapBytes()
+				p.SetMembers(epoch, members)
+				b.ReportMetric(float64(heapBytes()-before)/float64(size), "bytes/item")
+				runtime.KeepAlive(p)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/quarantiner/loss.go
@@ -0,0 +1,51 @@
+package quarantiner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// loss is a backend server that could not be reached.
+type loss struct {
+	backend identifier.BackendID
+	at      time.Time
+}
+
+// lost notes a backend server that could not be reached. When several of a rack
+// are lost within a short time, the others of the rack get one task at a time.
+func (q *Quarantiner) lost(now time.Time, id identifier.BackendID) {
+	rack, ok := q.racks[id]
+	if !ok || rack == "" {
+		return
+	}
+	losses := slices.DeleteFunc(q.losses[rack], func(l loss) bool {
+		return l.backend == id || now.Sub(l.at) > rackWindow
+	})
+	if len(losses) < maxRackLosses {
+		losses = append(losses, loss{backend: id, at: now})
+	}
+	q.losses[rack] = losses
+	if len(losses) >= rackLosses {
+		q.suspectRack(now, rack)
+	}
+}
+
+func (q *Quarantiner) suspectRack(now time.Time, rack identifier.RackID) {
+	var ids []identifier.BackendID
+	for id, r := range q.racks {
+		if r == rack && q.suspects[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b identifier.BackendID) int { return strings.Compare(string(a), string(b)) })
+	for _, id := range ids {
+		if len(q.suspects) >= maxSuspects {
+			return
+		}
+		q.suspects[id] = &suspect{backend: id, phase: probation, failedAt: now}
+		q.effects = append(q.effects, Allow{Backend: id, Tasks: 1})
+	}
+}
