fix(claimer): bound the bytes of endings apart from claims

Cause: endings counted towards the bound at which claims are refused, so large answers could stop a VM from serving; a job older than the retention kept a drain waiting; a roster above the store's size was proposed. Change: above a bound of their own the earliest endings are kept by kind only; running jobs are counted apart from records; a roster that can't be encoded is treated as full. Conclusion: a full table of endings costs kept answers, not service.

--- a/internal/claimer/bench_test.go
+++ b/internal/claimer/bench_test.go
@@ -150,7 +150,7 @@
 func BenchmarkRecord(b *testing.B) {
 	const records = 100_000
 	for b.Loop() {
-		t := newRecordTable()
+		t := newRecordTable(DefaultMaxEndings)
 		before := heap()
 		for i := range records {
 			data, err := peermessenger.Encode(peermessenger.RecordClaim{Epoch: 1, Record: peermessenger.ClaimRecord{
--- a/internal/claimer/claim.go
+++ b/internal/claimer/claim.go
@@ -60,7 +60,7 @@
 		c.deny(a, endingOf(r))
 		return
 	}
-	c.running++
+	c.running[a.id] = struct{}{}
 	c.answer(a, ClaimGranted{Submission: a.id, Digest: a.digest})
 }
 
@@ -142,11 +142,12 @@
 }
 
 func (c *Claimer) jobEnded(event JobEnded) {
+	delete(c.running, event.Submission)
 	r := c.records.get(event.Submission)
 	if r == nil || r.Runner != c.opts.Self || r.Kind != peermessenger.NotEnded {
+		c.advanceDrain()
 		return
 	}
-	c.running--
 	ended := *r
 	switch ending := event.Ending.(type) {
 	case declarer.Complete:
@@ -165,7 +166,7 @@
 
 // full reports whether new claims are refused for lack of room.
 func (c *Claimer) full() bool {
-	return c.records.count >= c.opts.MaxRecords || c.records.bytes >= c.opts.MaxBytes
+	return c.records.count >= c.opts.MaxRecords
 }
 
 func (c *Claimer) noRoom() declarer.Ending {
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -43,9 +43,9 @@
 	silent  map[identifier.Member]bool                 // lost, and not heard since
 
 	outboxes map[identifier.Member]*outbox
-	unhanded map[identifier.SubmissionID]int // endings of jobs run here, by the receivers that lack them
-	pages    peermessenger.PageNumber        // handed to any member so far
-	running  int                             // jobs that run here
+	unhanded map[identifier.SubmissionID]int      // endings of jobs run here, by the receivers that lack them
+	pages    peermessenger.PageNumber             // handed to any member so far
+	running  map[identifier.SubmissionID]struct{} // jobs that were granted here and have not ended
 	draining bool
 	drained  bool
 	drain    drainState
@@ -59,7 +59,7 @@
 	return &Claimer{
 		opts:     opts,
 		pairs:    map[identifier.Epoch]*pairTable{},
-		records:  newRecordTable(),
+		records:  newRecordTable(opts.MaxEndings),
 		waiting:  map[identifier.SubmissionID]*ask{},
 		pending:  map[identifier.SubmissionID]*pending{},
 		queries:  map[identifier.SubmissionID]*query{},
@@ -69,6 +69,7 @@
 		silent:   map[identifier.Member]bool{},
 		outboxes: map[identifier.Member]*outbox{},
 		unhanded: map[identifier.SubmissionID]int{},
+		running:  map[identifier.SubmissionID]struct{}{},
 	}
 }
 
--- a/internal/claimer/drain.go
+++ b/internal/claimer/drain.go
@@ -13,7 +13,7 @@
 // here. The drain is over when every receiver has acknowledged them and is
 // whole itself, so that nobody needs this VM any more.
 func (c *Claimer) advanceDrain() {
-	if !c.draining || c.drained || c.running > 0 {
+	if !c.draining || c.drained || len(c.running) > 0 {
 		return
 	}
 	if c.roster == nil {
--- a/internal/claimer/merge.go
+++ b/internal/claimer/merge.go
@@ -16,9 +16,6 @@
 	if known != nil && !supersedes(r, known) {
 		return
 	}
-	if known != nil && known.Runner == c.opts.Self && known.Kind == peermessenger.NotEnded {
-		c.running--
-	}
 	kept := *r
 	c.records.put(&kept)
 }
@@ -39,5 +36,5 @@
 
 // overflowing reports whether no more records can be taken over.
 func (c *Claimer) overflowing() bool {
-	return c.records.count >= takeoverRoom*c.opts.MaxRecords || c.records.bytes >= takeoverRoom*c.opts.MaxBytes
+	return c.records.count >= takeoverRoom*c.opts.MaxRecords
 }
--- a/internal/claimer/options.go
+++ b/internal/claimer/options.go
@@ -16,7 +16,7 @@
 	RetryAfter   time.Duration    // proposed to callers whose ask may succeed later
 	Resend       time.Duration    // between repetitions of a message that was not answered
 	MaxRecords   int              // kept records; new claims are refused above it
-	MaxBytes     identifier.Bytes // of kept records, as estimated; new claims are refused above it
+	MaxEndings   identifier.Bytes // of kept endings, as estimated; above it the earliest are kept by kind only
 	MaxAsks      int              // asks that are not decided yet
 	PageRecords  int              // records in one message
 	PageBytes    identifier.Bytes // of records in one message, as estimated
@@ -32,8 +32,8 @@
 	DefaultClaimTimeout = 2 * time.Second
 	DefaultRetryAfter   = time.Second
 	DefaultResend       = 100 * time.Millisecond
-	DefaultMaxRecords   = 1 << 20
-	DefaultMaxBytes     = 512 << 20
+	DefaultMaxRecords   = 1 << 18
+	DefaultMaxEndings   = 64 << 20
 	DefaultMaxAsks      = 1 << 14
 	DefaultPageRecords  = 1 << 10
 	DefaultPageBytes    = 256 << 10
@@ -61,7 +61,7 @@
 	setDefault(&o.RetryAfter, DefaultRetryAfter)
 	setDefault(&o.Resend, DefaultResend)
 	setDefault(&o.MaxRecords, DefaultMaxRecords)
-	setDefault(&o.MaxBytes, DefaultMaxBytes)
+	setDefault(&o.MaxEndings, DefaultMaxEndings)
 	setDefault(&o.MaxAsks, DefaultMaxAsks)
 	setDefault(&o.PageRecords, DefaultPageRecords)
 	setDefault(&o.PageBytes, DefaultPageBytes)
--- a/internal/claimer/queries.go
+++ b/internal/claimer/queries.go
@@ -28,7 +28,8 @@
 // Stats are figures of a Claimer.
 type Stats struct {
 	Records     int              `json:"records"`
-	Bytes       identifier.Bytes `json:"bytes"` // of records, as estimated
+	Bytes       identifier.Bytes `json:"bytes"`   // of records with endings, as estimated
+	Endings     identifier.Bytes `json:"endings"` // of endings, as estimated
 	Undecided   int              `json:"undecided"`
 	Running     int              `json:"running"`
 	WholeShards int              `json:"wholeShards"`
@@ -42,8 +43,9 @@
 	s := Stats{
 		Records:   c.records.count,
 		Bytes:     c.records.bytes,
+		Endings:   c.records.endings,
 		Undecided: len(c.waiting) + len(c.pending),
-		Running:   c.running,
+		Running:   len(c.running),
 		Promised:  c.promised,
 	}
 	if c.roster == nil {
--- a/internal/claimer/recordtable.go
+++ b/internal/claimer/recordtable.go
@@ -16,16 +16,24 @@
 // are dropped together, in milliseconds.
 const expiryBucket = 10_000
 
-// recordTable keeps claim records by shard and by age.
+// recordTable keeps claim records by shard and by age. Above its bound it keeps
+// the earliest endings by kind only.
 type recordTable struct {
 	shards  [ShardCount]map[identifier.SubmissionID]*peermessenger.ClaimRecord
 	buckets map[peermessenger.UnixMillis][]identifier.SubmissionID
 	count   int
-	bytes   identifier.Bytes
+	bytes   identifier.Bytes // with endings
+
+	maxEndings identifier.Bytes
+	endings    identifier.Bytes
+	ended      []identifier.SubmissionID // with an ending, the earliest first; some may have lost it since
 }
 
-func newRecordTable() recordTable {
-	t := recordTable{buckets: map[peermessenger.UnixMillis][]identifier.SubmissionID{}}
+func newRecordTable(maxEndings identifier.Bytes) recordTable {
+	t := recordTable{
+		buckets:    map[peermessenger.UnixMillis][]identifier.SubmissionID{},
+		maxEndings: maxEndings,
+	}
 	for s := range t.shards {
 		t.shards[s] = map[identifier.SubmissionID]*peermessenger.ClaimRecord{}
 	}
@@ -41,15 +49,46 @@
 	shard := t.shards[shardOf(r.Submission)]
 	old, ok := shard[r.Submission]
 	if ok {
-		t.bytes -= recordSize(old)
-		t.count--
+		t.uncount(old)
 	}
 	if !ok || bucketOf(old) != bucketOf(r) {
 		t.buckets[bucketOf(r)] = append(t.buckets[bucketOf(r)], r.Submission)
 	}
 	shard[r.Submission] = r
-	t.bytes += recordSize(r)
 	t.count++
+	t.bytes += recordSize(r)
+	if size := endingSize(r); size > 0 {
+		t.endings += size
+		t.ended = append(t.ended, r.Submission)
+		t.trimEndings()
+	}
+}
+
+func (t *recordTable) uncount(r *peermessenger.ClaimRecord) {
+	t.count--
+	t.bytes -= recordSize(r)
+	t.endings -= endingSize(r)
+}
+
+// trimEndings drops the earliest endings above the bound.
+func (t *recordTable) trimEndings() {
+	for t.endings > t.maxEndings && len(t.ended) > 0 {
+		id := t.ended[0]
+		t.ended = t.ended[1:]
+		if r := t.get(id); r != nil && endingSize(r) > 0 {
+			t.put(withoutEnding(r))
+		}
+	}
+}
+
+// trimEnded drops the ids at the head of the list that have no ending any more.
+func (t *recordTable) trimEnded() {
+	for len(t.ended) > 0 {
+		if r := t.get(t.ended[0]); r != nil && endingSize(r) > 0 {
+			return
+		}
+		t.ended = t.ended[1:]
+	}
 }
 
 func (t *recordTable) drop(id identifier.SubmissionID) {
@@ -58,8 +97,7 @@
 	if !ok {
 		return
 	}
-	t.bytes -= recordSize(r)
-	t.count--
+	t.uncount(r)
 	delete(shard, id)
 }
 
@@ -76,6 +114,7 @@
 		}
 		delete(t.buckets, bucket)
 	}
+	t.trimEnded()
 }
 
 // idsAfter returns the ids of a shard that follow the given one, in order.
@@ -100,12 +139,13 @@
 
 func endingSize(r *peermessenger.ClaimRecord) (size identifier.Bytes) {
 	if r.Complete != nil {
+		size = sliceOverhead
 		for _, output := range r.Complete.Outputs {
 			size += identifier.Bytes(len(output)) + sliceOverhead
 		}
 	}
 	if r.Failed != nil {
-		size += identifier.Bytes(len(r.Failed.Detail)) + identifier.Bytes(len(r.Failed.Outcomes))*sliceOverhead
+		size = sliceOverhead + identifier.Bytes(len(r.Failed.Detail)) + identifier.Bytes(len(r.Failed.Outcomes))*sliceOverhead
 	}
 	return size
 }
--- a/internal/claimer/world_test.go
+++ b/internal/claimer/world_test.go
@@ -180,8 +180,9 @@
 			ClaimTimeout: time.Second,
 			Resend:       100 * time.Millisecond,
 			PageRecords:  2,
-			SmallEnding:  40,
+			SmallEnding:  64,
 			MaxRecords:   200,
+			MaxEndings:   400,
 			defects:      w.defects,
 		}),
 	}
--- a/internal/enroller/change.go
+++ b/internal/enroller/change.go
@@ -112,7 +112,14 @@
 	if !changed {
 		return nil, false
 	}
-	return r.Next(now, members, e.allWhole(r))
+	next, ok = r.Next(now, members, e.allWhole(r))
+	if !ok {
+		return nil, false
+	}
+	if _, err := EncodeRoster(next); err != nil {
+		return nil, false // no room, as with a full history
+	}
+	return next, true
 }
 
 // proposeSelf puts this member's own wish into the list of members.
