--- a/internal/backendcaller/exchange.go
+++ b/internal/backendcaller/exchange.go
@@ -76,12 +76,18 @@
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode == http.StatusOK {
+	return decodeAnswer(resp.StatusCode, data, response)
+}
+
+// decodeAnswer decodes an answer into response. It returns *statusError for an
+// answer that refuses.
+func decodeAnswer(status int, data []byte, response any) error {
+	if status == http.StatusOK {
 		return json.Unmarshal(data, response)
 	}
-	e := &statusError{status: resp.StatusCode}
+	e := &statusError{status: status}
 	if err := json.Unmarshal(data, &e.refusal); err != nil || e.refusal.Refused == "" {
-		return errors.Newf("status %d without a reason", resp.StatusCode)
+		return errors.Newf("status %d without a reason", status)
 	}
 	return e
 }
--- a/internal/backendcaller/faults_test.go
+++ b/internal/backendcaller/faults_test.go
@@ -283,6 +283,17 @@
 	}
 }
 
+func TestStopEndsDuplicatesToo(t *testing.T) {
+	b := newBench(t, backendcaller.Options{})
+	s := startOf(0, `{"sleepMillis":60000}`)
+	first, second := b.begin(s), b.begin(s)
+	if _, err := b.caller.Stop(b.ctx, b.address, []identifier.TaskRef{s.Task}); err != nil {
+		t.Fatal(err)
+	}
+	expectCause(t, <-first, backendcaller.Stopped)
+	expectCause(t, <-second, backendcaller.Stopped)
+}
+
 func TestCloseEndsStartsInProgress(t *testing.T) {
 	b := newBench(t, backendcaller.Options{})
 	result := b.begin(startOf(0, `{"sleepMillis":60000}`))
--- a/internal/standin/backendserver/faults.go
+++ b/internal/standin/backendserver/faults.go
@@ -10,7 +10,7 @@
 // Faults are the faults of a backend server that can be set at run time.
 type Faults struct {
 	Dead              bool                       `json:"dead"`              // its tasks end, its connections and listener are closed
-	Frozen            bool                       `json:"frozen"`            // it answers nothing and its tasks stand still
+	Frozen            bool                       `json:"frozen"`            // it answers nothing and no task ends
 	Cut               bool                       `json:"cut"`               // no byte reaches it or leaves it; its tasks go on
 	CutCallers        []identifier.VMID          `json:"cutCallers"`        // as Cut, for these callers alone
 	CutFailureDomains []identifier.FailureDomain `json:"cutFailureDomains"` // as Cut, for the callers in these alone
--- a/internal/standin/backendserver/queries.go
+++ b/internal/standin/backendserver/queries.go
@@ -110,14 +110,11 @@
 		Connections: len(s.conns),
 		Tasks:       []taskUsage{},
 	}
-	for ref, t := range s.table.tasks {
-		if !t.running() {
-			continue
-		}
+	for _, t := range s.table.running() {
 		u.Millicores += t.millicores
 		u.Memory += t.memory
 		u.Tasks = append(u.Tasks, taskUsage{
-			taskRefBody: taskRefBody(ref),
+			taskRefBody: taskRefBody(t.ref),
 			Millicores:  t.millicores,
 			Memory:      t.memory,
 			RunMillis:   now.Sub(t.startedAt).Milliseconds(),
--- a/internal/standin/backendserver/runner.go
+++ b/internal/standin/backendserver/runner.go
@@ -34,7 +34,7 @@
 		Unrepeatable: req.Unrepeatable,
 		StartedAt:    now,
 	})
-	s.table.tasks[t.ref] = t
+	s.table.add(t)
 	s.running++
 	t.timer = time.AfterFunc(t.rest(now), func() { s.expire(t) })
 	return t, ""
@@ -167,7 +167,11 @@
 	case t.cancelled:
 		return stateNeverStarted
 	case t.running():
-		s.end(now, t, Stopped, "stopped on request")
+		for started := t; started != nil; started = started.earlier {
+			if started.running() {
+				s.end(now, started, Stopped, "stopped on request")
+			}
+		}
 		return stateStopped
 	default:
 		return stateEnded
--- a/internal/standin/backendserver/server.go
+++ b/internal/standin/backendserver/server.go
@@ -182,10 +182,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, t := range s.table.tasks {
-		if t.running() {
-			s.end(now, t, Died, "the backend server died")
-		}
+	for _, t := range s.table.running() {
+		s.end(now, t, Died, "the backend server died")
 	}
 	s.table = newTaskTable()
 }
--- a/internal/standin/backendserver/task.go
+++ b/internal/standin/backendserver/task.go
@@ -74,6 +74,7 @@
 	output       []byte
 	checkpointed float64 // share of the work done at the last checkpoint
 	total        time.Duration
+	earlier      *task // that a duplicate start has replaced in the table, else nil
 }
 
 func (t *task) running() bool {
--- a/internal/standin/backendserver/tasktable.go
+++ b/internal/standin/backendserver/tasktable.go
@@ -30,6 +30,28 @@
 	return taskTable{tasks: make(map[identifier.TaskRef]*task)}
 }
 
+// running returns the tasks that run.
+func (t *taskTable) running() []*task {
+	var running []*task
+	for _, newest := range t.tasks {
+		for started := newest; started != nil; started = started.earlier {
+			if started.running() {
+				running = append(running, started)
+			}
+		}
+	}
+	return running
+}
+
+// add adds a task that starts. A running task of the same reference stays with
+// it.
+func (t *taskTable) add(started *task) {
+	if known := t.tasks[started.ref]; known != nil && known.running() {
+		started.earlier = known
+	}
+	t.tasks[started.ref] = started
+}
+
 // keep keeps a task that has ended.
 func (t *taskTable) keep(now time.Time, ended *task) {
 	t.ended = append(t.ended, endedTask{task: ended, at: now})
