--- a/internal/experimenter/experiment_test.go
+++ b/internal/experimenter/experiment_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,11 +13,6 @@
 	"github.com/peppertrack/peppertrack/internal/loader"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	os.Exit(m.Run())
-}
-
 const smallScenario = `
 name: small
 system: {entryVMsPerFailureDomain: 2, backendServers: 4, slotsPerServer: 4}
--- a/internal/loader/planner_test.go
+++ b/internal/loader/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -125,6 +126,9 @@
 		{"declared.factor", func(w *Workload) { w.Declared.Factor = 0 }},
 		{"teams", func(w *Workload) { w.Teams = nil }},
 		{"teams[0]", func(w *Workload) { w.Teams[0].Weight = 0 }},
+		{"teams[0]", func(w *Workload) { w.Teams[0].Weight = math.NaN() }},
+		{"bursts[0]", func(w *Workload) { w.Bursts = []Burst{{For: 1, Factor: math.Inf(1)}} }},
+		{"load", func(w *Workload) { w.Load = math.NaN() }},
 		{"runTimes: kind", func(w *Workload) { w.RunTimes.Kind = "even" }},
 		{"runTimes: shape", func(w *Workload) { w.RunTimes.Kind = KindPareto }},
 		{"bursts[0]", func(w *Workload) { w.Bursts = []Burst{{}} }},
--- a/internal/loader/runtimes.go
+++ b/internal/loader/runtimes.go
@@ -18,7 +18,10 @@
 	KindLognormal Kind = "lognormal"
 )
 
-const longestRunTime = time.Minute
+const (
+	longestRunTime = time.Minute
+	maxShape       = 100.0
+)
 
 // RunTimes is a distribution of run times between Min and Max, of which a share
 // is replaced by long ones.
@@ -66,13 +69,13 @@
 	case KindUniform:
 		return uniform{low: r.Min.Seconds(), high: r.Max.Seconds()}, nil
 	case KindPareto:
-		if r.Shape <= 0 {
-			return nil, errors.New("shape: must be above 0 for pareto")
+		if !isPositive(r.Shape, maxShape) {
+			return nil, errors.New("shape: must be above 0 and at most 100 for pareto")
 		}
 		return pareto{low: r.Min.Seconds(), shape: r.Shape}, nil
 	case KindLognormal:
-		if r.Shape <= 0 || r.Median <= 0 {
-			return nil, errors.New("shape and median: must be above 0 for lognormal")
+		if !isPositive(r.Shape, maxShape) || r.Median <= 0 {
+			return nil, errors.New("shape and median: must be above 0, and shape at most 100, for lognormal")
 		}
 		return lognormal{median: r.Median.Seconds(), sigma: r.Shape}, nil
 	default:
--- a/internal/loader/workload.go
+++ b/internal/loader/workload.go
@@ -18,6 +18,8 @@
 	maxDuplicates   = 8
 	maxLoad         = 20.0
 	maxDeclaredSkew = 1000.0
+	maxWeight       = 1e6
+	maxBurstFactor  = 1000.0
 )
 
 // Workload describes the jobs that are offered to the system.
@@ -143,13 +145,13 @@
 		return errors.Wrap(err, "runTimes")
 	}
 	for i, team := range w.Teams {
-		if team.Name == "" || team.Weight <= 0 {
-			return errors.Newf("teams[%d]: needs a name and a weight above 0", i)
+		if team.Name == "" || !isPositive(team.Weight, maxWeight) {
+			return errors.Newf("teams[%d]: needs a name and a weight above 0 and at most 1e6", i)
 		}
 	}
 	for i, burst := range w.Bursts {
-		if burst.At < 0 || burst.For <= 0 || burst.Factor <= 0 {
-			return errors.Newf("bursts[%d]: needs at of at least 0, for and factor above 0", i)
+		if burst.At < 0 || burst.For <= 0 || !isPositive(burst.Factor, maxBurstFactor) {
+			return errors.Newf("bursts[%d]: needs at of at least 0, for above 0, and factor above 0 and at most 1000", i)
 		}
 	}
 	for i, wave := range w.CancelWaves {
@@ -162,6 +164,10 @@
 
 func (t Team) bearer() string { return cmp.Or(t.Token, string(t.Name)) }
 
+// isPositive reports whether a value is above 0 and within a bound; it is not if
+// it is no number.
+func isPositive(value, most float64) bool { return value > 0 && value <= most }
+
 func isShare(share float64) bool { return share >= 0 && share <= 1 }
 
 // rateFactor returns the multiplier of the arrival rate at a time.
