feat(loader): offer jobs of four teams by default

Cause: one team at 70% of 400 slots is above the quota of 200 slots that the order desk's example profile gives it.

The script for separate processes applies the example profiles with a reason.

--- a/examples/run-separate-processes.sh
+++ b/examples/run-separate-processes.sh
@@ -167,7 +167,7 @@
 for address in "${addresses[@]}"; do
 	await "http://$address/readyz"
 done
-"$bin/peppertrack" apply --server "http://127.0.0.1:$((first_port + 11))" "$profiles"
+"$bin/peppertrack" apply --reason "separate processes" --server "http://127.0.0.1:$((first_port + 11))" "$profiles" >"$out/apply.log"
 sleep 2
 
 if [ "$mode" = faults ]; then
--- a/internal/loader/workload.go
+++ b/internal/loader/workload.go
@@ -94,7 +94,7 @@
 }
 
 // DefaultWorkload returns the steady workload of jobs of 10 to 200 tasks of
-// 50 ms to 1 s at 70% of the slots.
+// 50 ms to 1 s at 70% of the slots, from four teams.
 func DefaultWorkload() Workload {
 	return Workload{
 		Seed:     1,
@@ -105,7 +105,12 @@
 		TasksMax: 200,
 		RunTimes: RunTimes{Kind: KindUniform, Min: 50 * time.Millisecond, Max: time.Second},
 		Declared: Declared{Factor: 1},
-		Teams:    []Team{{Name: "exchange", Weight: 1}},
+		Teams: []Team{
+			{Name: "team-a", Weight: 1},
+			{Name: "team-b", Weight: 1},
+			{Name: "team-c", Weight: 1},
+			{Name: "team-d", Weight: 1},
+		},
 	}
 }
 
