feat(loader,auditor): count the starts of other callers

Cause: in a 60 s run with faults the backend servers saw 39673 starts for 28509 offered tasks, with no double start. Beside it, scenarios ran whose backend servers die; this run's servers had taken some of their ports, and the other system's entry VMs sent their tasks there. Ruled out: resubmissions under another id, since a 15 s run by itself saw each id with exactly its tasks.

Change: the report counts starts of submissions that the run didn't send, and an experiment lists them; the script for separate processes gives the backend servers fixed ports. A workload may let its callers come back after a refusal.

--- a/examples/run-separate-processes.sh
+++ b/examples/run-separate-processes.sh
@@ -10,6 +10,7 @@
 # Environment, with defaults:
 #   ENTRY_VMS=3  BACKENDS=50  DURATION=30s  LOAD=0.7  SEED=1  WORKLOAD=
 #   FAILURE_DOMAINS=domain-a  FAULT_PAUSE=5  FREEZE=3  FIRST_PORT=17100
+#   (ports from FIRST_PORT to FIRST_PORT+100+BACKENDS are used)
 #   PROFILES=examples/profiles  OUT=out/separate
 # The exit code is that of "pepperstand load": 1 if a promise was broken.
 set -euo pipefail
@@ -131,6 +132,7 @@
 		0)
 			echo "$(date +%T) kill vm-$vm"
 			kill -KILL "$pid"
+			wait "$pid" 2>/dev/null || true
 			sleep 1
 			start_vm "$vm"
 			;;
@@ -155,7 +157,7 @@
 pids[platform]=$!
 await "http://$platform/v1/counters"
 "$bin/pepperstand" backend --admin "$administration" --platform "http://$platform" \
-	--count "$backends" --failure-domains "$(IFS=,; echo "${domains[*]}")" >"$out/backends.log" 2>&1 &
+	--count "$backends" --first-port $((first_port + 100)) --failure-domains "$(IFS=,; echo "${domains[*]}")" >"$out/backends.log" 2>&1 &
 pids[backends]=$!
 await "http://$administration/v1/servers"
 
--- a/internal/auditor/audit.go
+++ b/internal/auditor/audit.go
@@ -21,6 +21,21 @@
 	return violations
 }
 
+// CountForeign counts the starts of submissions that no observation names. They
+// come from other callers, or from another system that reaches these servers.
+func CountForeign(starts []Start, observations []Observation) (count int) {
+	known := make(map[identifier.SubmissionID]struct{}, len(observations))
+	for _, observation := range observations {
+		known[observation.Submission] = struct{}{}
+	}
+	for _, start := range starts {
+		if _, ok := known[start.Task.Submission]; !ok {
+			count++
+		}
+	}
+	return count
+}
+
 // submissionCase holds all that was seen of one submission.
 type submissionCase struct {
 	id           identifier.SubmissionID
--- a/internal/auditor/audit_test.go
+++ b/internal/auditor/audit_test.go
@@ -81,3 +81,10 @@
 		})
 	}
 }
+
+func TestCountForeign(t *testing.T) {
+	other := Start{Task: identifier.TaskRef{Submission: "other"}}
+	if n := CountForeign(append(startOf(0, 1), other), []Observation{seen(nil)}); n != 1 {
+		t.Errorf("%d foreign starts, want 1", n)
+	}
+}
--- a/internal/experimenter/recovery.go
+++ b/internal/experimenter/recovery.go
@@ -80,6 +80,9 @@
 	if t.RecoverIn > 0 && run.Recovery.Disturbed && (!run.Recovery.Recovered || run.Recovery.After > t.RecoverIn) {
 		missed = append(missed, fmt.Sprintf("recovery %s, not within %v", run.Recovery, t.RecoverIn))
 	}
+	if r.ForeignStarts > 0 {
+		missed = append(missed, fmt.Sprintf("disturbed by %d starts of other callers", r.ForeignStarts))
+	}
 	if r.Failed() {
 		missed = append(missed, fmt.Sprintf("%d violations, %d left over, %d not sent, %d unanswered",
 			len(r.Violations), r.LeftOver, r.NotSent, r.Endings["unanswered"]))
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -34,6 +34,9 @@
 	Cost      Cost                        `json:"cost"`
 	Audited   bool                        `json:"audited"`
 	Starts    int                         `json:"starts"`
+	// ForeignStarts are starts of submissions that this run did not send. They
+	// take slots from it.
+	ForeignStarts int `json:"foreignStarts"`
 	// StartEndings and StartRefusals count the starts that the backend servers
 	// saw, and StillRunning the tasks that ran on at the end.
 	StartEndings  map[string]int64    `json:"startEndings"`
@@ -130,7 +133,7 @@
 		fmt.Fprintf(w, "audit\tnot run: no control address of the backend servers\n")
 		return
 	}
-	fmt.Fprintf(w, "starts seen\t%d, %d still running\n", r.Starts, r.StillRunning)
+	fmt.Fprintf(w, "starts seen\t%d, %d still running, %d of other callers\n", r.Starts, r.StillRunning, r.ForeignStarts)
 	writeCounts(w, "ended ", r.StartEndings)
 	writeCounts(w, "refused ", r.StartRefusals)
 	fmt.Fprintf(w, "violations\t%d\n", len(r.Violations))
--- a/internal/loader/run.go
+++ b/internal/loader/run.go
@@ -71,7 +71,7 @@
 			Token:          team.bearer(),
 			Attempts:       r.opts.Attempts,
 			RequestTimeout: r.opts.RequestTimeout,
-			KeepRefusals:   true,
+			KeepRefusals:   !r.opts.Workload.ComeBack,
 			Seed:           r.opts.Workload.Seed + uint64(i),
 		})
 		if err != nil {
--- a/internal/loader/workload.go
+++ b/internal/loader/workload.go
@@ -47,6 +47,9 @@
 	UnrepeatableShare float64 `yaml:"unrepeatableShare" json:"unrepeatableShare"`
 	// Resubmissions are further requests with the id of a job.
 	Resubmissions Resubmissions `yaml:"resubmissions" json:"resubmissions"`
+	// ComeBack says that callers come back after a refusal's pause, under the same
+	// id. Otherwise the first answer counts.
+	ComeBack bool `yaml:"comeBack" json:"comeBack"`
 	// Bursts multiply the arrival rate for a time.
 	Bursts []Burst `yaml:"bursts" json:"bursts"`
 	// CancelWaves cancel a share of the jobs in flight.
