feat(profilekeeper): tell other failure domains of a change at once

Cause: with the store cut off from one failure domain, a change came by the others only at the next digest, up to 2 s later. Change: whoever watches sends its digests to the other failure domains at the first tick after a change. The script resets every fault. The meter counts accepted changes. Names: heartbeat, forward and domainPeers for beat, pass and colleagues.

--- a/cmd/pepperstand/internal/cmd/spreadcmd.go
+++ b/cmd/pepperstand/internal/cmd/spreadcmd.go
@@ -39,7 +39,7 @@
 	f := c.Flags()
 	f.StringSliceVar(&opts.Servers, "operators", nil, "URLs of the operators' API of every entry VM (required)")
 	f.StringVar(&opts.Token, "token", "", "bearer token of an operator")
-	f.IntVar(&opts.Changes, "changes", 100, "number of changes")
+	f.IntVar(&opts.Changes, "changes", 100, "number of changes to be accepted")
 	f.DurationVar(&opts.Interval, "interval", 100*time.Millisecond, "time between two changes")
 	f.DurationVar(&opts.Limit, "limit", 30*time.Second, "time after which a VM without a change counts as late")
 	_ = c.MarkFlagRequired("operators") // the flag exists
--- a/examples/measure-profile-spread.sh
+++ b/examples/measure-profile-spread.sh
@@ -37,6 +37,9 @@
 	exit 1
 }
 
+no_faults='{"down":false,"delayMillis":0,"cutFailureDomains":[]}'
+
+# faults BODY sets faults of the store; what BODY leaves out stays as it was.
 faults() { curl -sf -o /dev/null -X POST -d "$1" "http://$platform/v1/faults"; }
 
 "$bin/pepperstand" platform --listen "$platform" >"$out/platform.log" 2>&1 &
@@ -66,19 +69,20 @@
 measure without-faults
 faults '{"delayMillis":400}'
 measure slow-store
+faults "$no_faults"
 faults '{"cutFailureDomains":["domain-b"]}'
 sleep 10
 measure domain-cut-off-from-store
-faults '{}'
+faults "$no_faults"
 while sleep 4; do
 	faults '{"down":true}'
 	sleep 2
-	faults '{}'
+	faults "$no_faults"
 done &
 restarts=$!
 measure store-restarts
 kill "$restarts"
-faults '{}'
+faults "$no_faults"
 
 echo "== steady state, 30 s without changes: calls of the store and bytes between peers by VM"
 bytes() {
--- a/internal/profilekeeper/election.go
+++ b/internal/profilekeeper/election.go
@@ -20,15 +20,15 @@
 	known := k.peers
 	k.peers = slices.Clone(e.Peers)
 	slices.SortFunc(k.peers, func(a, b Peer) int { return compareMembers(a.Member, b.Member) })
-	k.colleagues = nil
+	k.domainPeers = nil
 	for _, p := range k.peers {
 		if p.Domain == k.opts.Domain {
-			k.colleagues = append(k.colleagues, p.Member)
+			k.domainPeers = append(k.domainPeers, p.Member)
 		}
 	}
 	if rank := k.rankOf(k.opts.Self); rank != k.rank {
 		k.rank = rank
-		k.beatAt = now
+		k.watcherHeardAt = now
 	}
 	for _, p := range k.peers {
 		if p.Domain == k.opts.Domain && !slices.Contains(known, p) {
@@ -42,7 +42,7 @@
 // rankOf returns how many VMs of the failure domain come before one of them.
 func (k *Keeper) rankOf(m identifier.Member) int {
 	rank := 0
-	for _, other := range append(slices.Clone(k.colleagues), k.opts.Self) {
+	for _, other := range append(slices.Clone(k.domainPeers), k.opts.Self) {
 		if cmp.Or(cmp.Compare(k.score(other), k.score(m)), compareMembers(other, m)) < 0 {
 			rank++
 		}
@@ -65,14 +65,14 @@
 
 // heardWatcher notes that another VM of the failure domain watches the store.
 func (k *Keeper) heardWatcher(now time.Time, m identifier.Member) {
-	if k.isColleague(m) && k.rankOf(m) < k.rank {
-		k.beatAt = now
+	if k.isDomainPeer(m) && k.rankOf(m) < k.rank {
+		k.watcherHeardAt = now
 	}
 }
 
 // elect decides whether this VM watches the store.
 func (k *Keeper) elect(now time.Time) {
-	wanted := now.Sub(k.beatAt) >= time.Duration(k.rank)*takeoverAfter
+	wanted := now.Sub(k.watcherHeardAt) >= time.Duration(k.rank)*takeoverAfter
 	if wanted == k.watch.wanted {
 		return
 	}
--- a/internal/profilekeeper/exchange.go
+++ b/internal/profilekeeper/exchange.go
@@ -127,23 +127,23 @@
 		return
 	}
 	k.verified(now, age)
-	if !k.isColleague(from) {
-		k.pass(now, before)
+	if !k.isDomainPeer(from) {
+		k.forward(now, before)
 	}
 }
 
-// pass sends the changes since an earlier book to the failure domain, or a
+// forward sends the changes since an earlier book to the failure domain, or a
 // digest if they are too large or not all known.
-func (k *Keeper) pass(now time.Time, before Book) {
+func (k *Keeper) forward(now time.Time, before Book) {
 	changes, ok := k.book.Since(before.Version)
 	data := mustEncode(changes)
 	var m peermessenger.Message = k.digest(now)
-	if ok && len(data) <= maxPassSize {
+	if ok && len(data) <= maxForwardSize {
 		m = peermessenger.ProfileChanges{
 			Version: before.Version, Chain: uint64(before.Chain), Changes: data, Age: k.age(now), Watching: k.watch.healthy,
 		}
 	}
-	for _, colleague := range k.colleagues {
-		k.send(colleague, m)
+	for _, peer := range k.domainPeers {
+		k.send(peer, m)
 	}
 }
--- a/internal/profilekeeper/keeper.go
+++ b/internal/profilekeeper/keeper.go
@@ -21,20 +21,20 @@
 
 // Times and bounds of the exchange.
 const (
-	TickInterval     = 100 * time.Millisecond
-	beatInterval     = time.Second            // of the watcher's digests to its failure domain
-	takeoverAfter    = 3 * time.Second        // without a digest of the watcher, for each rank
-	relayInterval    = 2 * time.Second        // of the watcher's digests to other failure domains
-	gossipInterval   = 5 * time.Second        // of each VM's digest to one peer of its failure domain
-	minReadInterval  = 250 * time.Millisecond // between two answers of the store
-	firstBackoff     = 200 * time.Millisecond // after a failed call of the store
-	maxFirstBackoff  = 5 * time.Second        // of the first in rank
-	maxBackoff       = 30 * time.Second       // of the others
-	pullJitter       = 300 * time.Millisecond // before a pull
-	pullTimeout      = time.Second
-	answerBytesRate  = 64 << 10 // bytes a second, in answers to pulls
-	answerBytesBurst = 1 << 20  // bytes
-	maxPassSize      = 32 << 10 // bytes of changes that are sent unasked; more is left to pulls
+	TickInterval      = 100 * time.Millisecond
+	heartbeatInterval = time.Second            // of the watcher's digests to its failure domain
+	takeoverAfter     = 3 * time.Second        // without a digest of the watcher, for each rank
+	relayInterval     = 2 * time.Second        // of the watcher's digests to other failure domains, but for changes
+	gossipInterval    = 5 * time.Second        // of each VM's digest to one peer of its failure domain
+	minReadInterval   = 250 * time.Millisecond // between two answers of the store
+	firstBackoff      = 200 * time.Millisecond // after a failed call of the store
+	maxFirstBackoff   = 5 * time.Second        // of the first in rank
+	maxBackoff        = 30 * time.Second       // of the others
+	pullJitter        = 300 * time.Millisecond // before a pull
+	pullTimeout       = time.Second
+	answerBytesRate   = 64 << 10 // bytes a second, in answers to pulls
+	answerBytesBurst  = 1 << 20  // bytes
+	maxForwardSize    = 32 << 10 // bytes of changes that are sent unasked; more is left to pulls
 )
 
 // Options configure a Keeper.
@@ -52,18 +52,18 @@
 	book       Book
 	verifiedAt time.Time // when the store last confirmed the book; zero: never
 
-	peers      []Peer // in the order of their names
-	colleagues []identifier.Member
-	rank       int       // of this VM among those of its failure domain
-	beatAt     time.Time // last digest of a watcher of lower rank, or when the rank began
+	peers          []Peer // in the order of their names
+	domainPeers    []identifier.Member
+	rank           int       // of this VM among those of its failure domain
+	watcherHeardAt time.Time // last digest of a watcher of lower rank, or when the rank began
 
 	watch  watch
 	pull   pull
 	budget byteBudget
 
-	nextBeat, nextRelay, nextGossip time.Time
-	counters                        Counters
-	effects                         []Effect
+	nextHeartbeat, nextRelay, nextGossip time.Time
+	counters                             Counters
+	effects                              []Effect
 }
 
 // watch is the state of this VM's watch of the store.
@@ -100,10 +100,10 @@
 // New returns a Keeper without a book.
 func New(now time.Time, opts Options) *Keeper {
 	k := &Keeper{
-		opts:   opts,
-		rand:   rand.New(rand.NewPCG(opts.Seed, 0)),
-		beatAt: now,
-		budget: newByteBudget(now, answerBytesRate, answerBytesBurst),
+		opts:           opts,
+		rand:           rand.New(rand.NewPCG(opts.Seed, 0)),
+		watcherHeardAt: now,
+		budget:         newByteBudget(now, answerBytesRate, answerBytesBurst),
 	}
 	k.nextGossip = now.Add(k.jitter(gossipInterval))
 	return k
@@ -142,6 +142,7 @@
 	}
 	k.book = b
 	k.counters.Adopted++
+	k.nextRelay = time.Time{} // the next tick tells the other failure domains
 	k.do(Adopted{Book: b})
 	return true
 }
@@ -160,19 +161,19 @@
 func (k *Keeper) onTick(now time.Time) {
 	k.elect(now)
 	k.callStore(now)
-	k.beat(now)
+	k.heartbeat(now)
 	k.relay(now)
 	k.gossip(now)
 	k.sendPull(now)
 }
 
-// beat tells the failure domain that this VM watches the store.
-func (k *Keeper) beat(now time.Time) {
-	if !k.watch.healthy || now.Before(k.nextBeat) {
+// heartbeat tells the failure domain that this VM watches the store.
+func (k *Keeper) heartbeat(now time.Time) {
+	if !k.watch.healthy || now.Before(k.nextHeartbeat) {
 		return
 	}
-	k.nextBeat = now.Add(beatInterval)
-	for _, m := range k.colleagues {
+	k.nextHeartbeat = now.Add(heartbeatInterval)
+	for _, m := range k.domainPeers {
 		k.send(m, k.digest(now))
 	}
 }
@@ -195,11 +196,11 @@
 
 // gossip sends a digest to a random peer of the own failure domain.
 func (k *Keeper) gossip(now time.Time) {
-	if len(k.colleagues) == 0 || now.Before(k.nextGossip) {
+	if len(k.domainPeers) == 0 || now.Before(k.nextGossip) {
 		return
 	}
 	k.nextGossip = now.Add(gossipInterval/2 + k.jitter(gossipInterval))
-	k.send(k.pick(k.colleagues), k.digest(now))
+	k.send(k.pick(k.domainPeers), k.digest(now))
 }
 
 func (k *Keeper) pick(members []identifier.Member) identifier.Member {
@@ -235,6 +236,6 @@
 	}
 }
 
-func (k *Keeper) isColleague(m identifier.Member) bool {
-	return slices.Contains(k.colleagues, m)
+func (k *Keeper) isDomainPeer(m identifier.Member) bool {
+	return slices.Contains(k.domainPeers, m)
 }
--- a/internal/profilekeeper/store.go
+++ b/internal/profilekeeper/store.go
@@ -43,7 +43,7 @@
 	}
 	k.verified(now, 0)
 	if k.book.Version != before.Version {
-		k.pass(now, before)
+		k.forward(now, before)
 	}
 }
 
--- a/internal/spreadmeter/meter.go
+++ b/internal/spreadmeter/meter.go
@@ -22,6 +22,7 @@
 const (
 	pollInterval = 5 * time.Millisecond
 	callTimeout  = 25 * time.Second
+	maxTries     = 50
 	profileName  = "spreadMeter" // the profile that is changed again and again
 )
 
@@ -29,7 +30,7 @@
 type Options struct {
 	Servers  []string // URLs of the operators' API of every entry VM
 	Token    string
-	Changes  int
+	Changes  int           // to be accepted; refused ones are tried again, within maxTries for each
 	Interval time.Duration // between two changes
 	Limit    time.Duration // after which a VM without a change counts as late
 }
@@ -65,7 +66,7 @@
 			Server: server, Token: opts.Token, HTTP: &http.Client{Timeout: callTimeout},
 		})
 	}
-	for n := range opts.Changes {
+	for n := 0; m.report.Accepted < opts.Changes && n < maxTries*opts.Changes; n++ {
 		if err := m.change(ctx, n); err != nil {
 			return r, err
 		}
