fix(enroller): prove a deleted VM by time, not by list numbers

Cause: the platform does not number its lists, and a number counted by each VM compares nothing between VMs: a list that lags could have proved a living member gone. One list, read once, could have done so too. Change: a VM counts as deleted when lists that were read have lacked it for longer than the list lags, after it was seen by this VM or, as the roster notes, by the member that joined.

--- a/internal/claimer/model_test.go
+++ b/internal/claimer/model_test.go
@@ -340,11 +340,11 @@
 
 func (w *world) actList() {
 	if p := w.pickProcess(w.running()); p != nil {
-		i := w.pick.choose("list", len(w.lists))
-		if i < len(w.lists)-1 {
+		lag := listLag * time.Duration(w.pick.choose("lag", 5)) / 4
+		if w.lists[len(w.lists)-1].since.After(w.now.Add(-lag)) {
 			w.reached["oldList"]++
 		}
-		w.readList(p, i)
+		w.readList(p, lag)
 	}
 }
 
--- a/internal/claimer/world_test.go
+++ b/internal/claimer/world_test.go
@@ -25,6 +25,7 @@
 	worldClockBound = 400 * time.Millisecond
 	maxHops         = 8
 	maxInFlight     = 400
+	listLag         = time.Second // the longest lag of the platform's list
 )
 
 // packet is a message under way.
@@ -78,7 +79,7 @@
 	processes   []*process // in the order of their start; dead ones stay
 	vms         []identifier.VMID
 	deleted     map[identifier.VMID]bool
-	lists       [][]identifier.VMID
+	lists       []vmListing
 	packets     []*packet
 	cuts        map[link]bool
 	storeCuts   map[identifier.VMID]bool
@@ -149,7 +150,13 @@
 			vms = append(vms, vm)
 		}
 	}
-	w.lists = append(w.lists, vms)
+	w.lists = append(w.lists, vmListing{since: w.now, vms: vms})
+}
+
+// vmListing is the platform's list from a time on.
+type vmListing struct {
+	since time.Time
+	vms   []identifier.VMID
 }
 
 func (w *world) boot(vm identifier.VMID, offset time.Duration) *process {
@@ -166,7 +173,7 @@
 			Address:           string(vm),
 			HeartbeatInterval: 300 * time.Millisecond,
 			SuspectAfter:      1500 * time.Millisecond,
-			GoneAfter:         time.Second,
+			GoneAfter:         listLag + 2*worldClockBound + time.Millisecond,
 			ListWait:          2 * time.Second,
 			RetryBase:         100 * time.Millisecond,
 			RetryMax:          400 * time.Millisecond,
@@ -188,7 +195,7 @@
 	}
 	w.processes = append(w.processes, p)
 	w.note("%s boots", m)
-	w.readList(p, len(w.lists)-1)
+	w.readList(p, 0)
 	return p
 }
 
@@ -712,6 +719,9 @@
 			}
 		}
 	}
+	for _, p := range w.running() {
+		w.readList(p, 0)
+	}
 	w.tickAll(interval)
 }
 
@@ -741,21 +751,21 @@
 			w.boot(vm, 0)
 		}
 	}
-	w.listAll()
 }
 
 func (w *world) occupied(vm identifier.VMID) bool {
 	return slices.ContainsFunc(w.processes, func(p *process) bool { return p.member.VM == vm && !p.dead })
 }
 
-func (w *world) listAll() {
-	for _, p := range w.running() {
-		w.readList(p, len(w.lists)-1)
+// readList hands a process the platform's list as it was some time ago.
+func (w *world) readList(p *process, lag time.Duration) {
+	vms := w.lists[0].vms
+	for _, l := range w.lists {
+		if !l.since.After(w.now.Add(-lag)) {
+			vms = l.vms
+		}
 	}
-}
-
-func (w *world) readList(p *process, i int) {
-	w.stepEnroller(p, w.clock(p), enroller.VMListRead{Revision: enroller.Revision(i + 1), VMs: w.lists[i]})
+	w.stepEnroller(p, w.clock(p), enroller.VMListRead{VMs: vms})
 }
 
 func (w *world) sortedIDs(p *process) []identifier.SubmissionID {
--- a/internal/enroller/change.go
+++ b/internal/enroller/change.go
@@ -42,10 +42,9 @@
 
 // awaitsListing reports whether this member waits, for some time after its boot,
 // for a list that shows its VM. Its entry then lets others prove later that the
-// VM was deleted, also those who have never seen it listed. Where the platform
-// does not number its lists there is nothing to wait for.
+// VM was deleted, also those who have never seen it listed.
 func (e *Enroller) awaitsListing(now time.Time) bool {
-	return e.list.revision > 0 && !e.list.listed[e.opts.Self.VM] && now.Sub(e.bootedAt) < e.opts.ListWait
+	return !e.list.readAt.IsZero() && !e.list.listed[e.opts.Self.VM] && now.Sub(e.bootedAt) < e.opts.ListWait
 }
 
 func (e *Enroller) rosterRead(now time.Time, event RosterRead) (effects []Effect) {
@@ -94,11 +93,7 @@
 }
 
 func (e *Enroller) entry() RosterMember {
-	entry := RosterMember{Member: e.opts.Self, Address: e.opts.Address}
-	if e.list.listed[e.opts.Self.VM] {
-		entry.Listed = e.list.revision
-	}
-	return entry
+	return RosterMember{Member: e.opts.Self, Address: e.opts.Address, Listed: e.list.listed[e.opts.Self.VM]}
 }
 
 // proposal returns the roster that should follow r, if any should.
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -17,7 +17,7 @@
 	SuspectAfter      time.Duration // of silence before a member may be removed
 	RetryBase         time.Duration // before the store is asked again after a failure
 	RetryMax          time.Duration
-	GoneAfter         time.Duration // of absence from the platform's list before a VM counts as deleted
+	GoneAfter         time.Duration // of absence from the platform's list before a VM counts as deleted; longer than that list lags
 	ListWait          time.Duration // for the platform's list to show this VM before it joins
 	Rand              *rand.Rand    // spreads the attempts of several members
 }
@@ -28,7 +28,7 @@
 	DefaultSuspectAfter      = 5 * time.Second
 	DefaultRetryBase         = 200 * time.Millisecond
 	DefaultRetryMax          = 5 * time.Second
-	DefaultGoneAfter         = 30 * time.Second
+	DefaultGoneAfter         = time.Minute
 	DefaultListWait          = 5 * time.Second
 )
 
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -171,29 +171,38 @@
 	a, b := member("a", 1), member("b", 1)
 	lacking, both := []identifier.VMID{"a"}, []identifier.VMID{"a", "b"}
 	late := start.Add(DefaultGoneAfter)
+	soon := late.Add(-time.Second)
+	type read struct {
+		at   time.Time
+		list VMListRead
+	}
 	tests := []struct {
 		name   string
-		listed Revision // in the roster
-		lists  []VMListRead
+		listed bool // in the roster
+		reads  []read
 		gone   bool
 	}{
-		{"shown, then lacking", 0, []VMListRead{{1, both}, {2, lacking}}, true},
-		{"never shown", 0, []VMListRead{{2, lacking}}, false},
-		{"shown to the one that joined", 1, []VMListRead{{2, lacking}}, true},
-		{"an old list", 1, []VMListRead{{1, lacking}}, false},
-		{"an old list after a new one", 0, []VMListRead{{2, both}, {1, lacking}}, false},
-		{"shown again", 0, []VMListRead{{1, both}, {2, lacking}, {3, both}}, false},
+		{"shown, then lacking", false, []read{{start, VMListRead{0, both}}, {start, VMListRead{0, lacking}}, {late, VMListRead{0, lacking}}}, true},
+		{"lacking for too short", false, []read{{start, VMListRead{0, both}}, {start, VMListRead{0, lacking}}, {soon, VMListRead{0, lacking}}}, false},
+		{"never shown", false, []read{{start, VMListRead{0, lacking}}, {late, VMListRead{0, lacking}}}, false},
+		{"shown to the one that joined", true, []read{{start, VMListRead{0, lacking}}, {late, VMListRead{0, lacking}}}, true},
+		{"no list was read since", true, []read{{start, VMListRead{0, lacking}}}, false},
+		{"no list was ever read", true, nil, false},
+		{"an old list after a new one", false, []read{{start, VMListRead{2, both}}, {start, VMListRead{1, lacking}}, {late, VMListRead{1, lacking}}}, false},
+		{"shown again", false, []read{{start, VMListRead{0, both}}, {start, VMListRead{0, lacking}}, {soon, VMListRead{0, both}}, {late, VMListRead{0, lacking}}}, false},
 	}
 	for _, tt := range tests {
 		e := newEnroller(a)
 		members := entries(a, b)
 		members[1].Listed = tt.listed
 		e.Step(start, RosterRead{Roster: NewRoster(start, domain, members), Revision: 1})
-		for _, list := range tt.lists {
-			e.Step(start, list)
+		var effects []Effect
+		for _, r := range tt.reads {
+			e.Step(r.at, r.list)
+			effects = append(effects, e.Step(r.at, Tick{})...)
 		}
-		mustNot[MemberGone](t, e.Step(start, Tick{}))
-		if _, gone := find[MemberGone](e.Step(late, Tick{})); gone != tt.gone {
+		effects = append(effects, e.Step(late.Add(time.Hour), Tick{})...)
+		if _, gone := find[MemberGone](effects); gone != tt.gone {
 			t.Errorf("%s: gone %t", tt.name, gone)
 		}
 	}
--- a/internal/enroller/events.go
+++ b/internal/enroller/events.go
@@ -52,7 +52,7 @@
 
 // VMListRead hands over the platform's list of live VMs.
 type VMListRead struct {
-	Revision Revision // lists of lower revisions than one already read are ignored
+	Revision Revision // lists of lower revisions than one already read are ignored; 0 where lists have none
 	VMs      []identifier.VMID
 }
 
--- a/internal/enroller/fates.go
+++ b/internal/enroller/fates.go
@@ -9,9 +9,9 @@
 
 // fate is what is known of a member seen on a roster.
 type fate struct {
-	gone     bool     // its process has ended, and this was reported
-	replaced bool     // a later process on its VM was heard
-	listed   Revision // of a platform's list that showed its VM; 0: none is known
+	gone     bool // its process has ended, and this was reported
+	replaced bool // a later process on its VM was heard
+	listed   bool // the platform's list had shown its VM when it joined
 }
 
 // follow watches for the end of the members of a roster and its history.
@@ -53,8 +53,10 @@
 		if f.gone || m == e.opts.Self {
 			continue
 		}
-		e.list.shown(now, m.VM, f.listed)
-		if f.replaced || e.roster.Replaced(m) || e.list.deleted(now, m.VM, e.opts.GoneAfter) {
+		if f.listed {
+			e.list.shown(now, m.VM)
+		}
+		if f.replaced || e.roster.Replaced(m) || e.list.deleted(m.VM, e.opts.GoneAfter) {
 			f.gone = true
 			e.fates[m] = f
 			effects = append(effects, MemberGone{Member: m})
--- a/internal/enroller/vmlist.go
+++ b/internal/enroller/vmlist.go
@@ -10,10 +10,12 @@
 const maxListedVMs = 100_000
 
 // vmList follows the platform's list of live VMs, which lags. A VM counts as
-// deleted only when a list has shown it and later lists have lacked it for some
-// time without a break.
+// deleted only when a list has shown it and the lists that were read after that
+// have lacked it without a break for longer than the list lags: then the last of
+// them tells of a time at which the VM had existed before.
 type vmList struct {
 	revision Revision
+	readAt   time.Time // when a list was last read; zero: never
 	listed   map[identifier.VMID]bool
 	missing  map[identifier.VMID]time.Time // listed before; since when no more
 }
@@ -27,6 +29,7 @@
 		return
 	}
 	l.revision = event.Revision
+	l.readAt = now
 	present := make(map[identifier.VMID]bool, len(event.VMs))
 	for _, vm := range event.VMs {
 		present[vm] = true
@@ -40,10 +43,9 @@
 	l.listed = present
 }
 
-// shown notes that a list of the given revision has shown a VM, as the roster
-// tells; 0 tells nothing.
-func (l *vmList) shown(now time.Time, vm identifier.VMID, revision Revision) {
-	if revision > 0 && revision < l.revision && !l.listed[vm] {
+// shown notes that a list has shown a VM to another member before now.
+func (l *vmList) shown(now time.Time, vm identifier.VMID) {
+	if !l.listed[vm] {
 		l.miss(now, vm)
 	}
 }
@@ -54,9 +56,9 @@
 	}
 }
 
-func (l *vmList) deleted(now time.Time, vm identifier.VMID, after time.Duration) bool {
+func (l *vmList) deleted(vm identifier.VMID, after time.Duration) bool {
 	since, ok := l.missing[vm]
-	return ok && now.Sub(since) >= after
+	return ok && l.readAt.Sub(since) >= after
 }
 
 func (l *vmList) lacks(vm identifier.VMID) bool {
