test(backendcaller): hold the bound on connections and be patient when busy

Cause: the option that bounds connections to a server had no test, and tests ran with the client's own short timeouts, which a busy machine can exceed.

Conclusion: the bound of connections a server holds.

--- a/internal/backendcaller/caller_test.go
+++ b/internal/backendcaller/caller_test.go
@@ -27,8 +27,15 @@
 	return fleet
 }
 
+// newCaller returns a client that is patient, also on a busy machine, unless
+// the options say otherwise.
 func newCaller(t testing.TB, opts backendcaller.Options) *backendcaller.Caller {
 	t.Helper()
+	for _, timeout := range []*time.Duration{&opts.ConnectTimeout, &opts.RequestTimeout, &opts.SettleTimeout} {
+		if *timeout == 0 {
+			*timeout = testTimeout
+		}
+	}
 	c, err := backendcaller.New(opts)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/backendcaller/faults_test.go
+++ b/internal/backendcaller/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -266,6 +267,30 @@
 	}
 }
 
+func TestConnectionsPerServerAreBounded(t *testing.T) {
+	for _, bound := range []int{1, 3} {
+		fleet := newFleet(t, backendserver.Options{Count: 1, Slots: 32, UsageLag: time.Millisecond})
+		address := fleet.VMs()[0].Address
+		c := newCaller(t, backendcaller.Options{ConnectionsPerServer: bound})
+		var wg sync.WaitGroup
+		for i := range 32 {
+			wg.Go(func() {
+				s := startOf(i, `{"sleepMillis":20}`)
+				checkOutput(t, s, c.Start(t.Context(), address, s))
+			})
+		}
+		wg.Wait()
+		usage, err := c.Usage(t.Context(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		hello := c.Messages()[backendcaller.HelloMessage].Needed / 2
+		if usage.Connections > bound || hello > uint64(bound) {
+			t.Errorf("got %d connections, %d of them made, want at most %d", usage.Connections, hello, bound)
+		}
+	}
+}
+
 func TestDuplicateStartIsAuditedAndRuns(t *testing.T) {
 	fleet := newFleet(t, backendserver.Options{Count: 2})
 	c := newCaller(t, backendcaller.Options{})
