fix(dispatcher): keep quotas over a cut

Cause: quotas were split between linked entry VMs only, so that both sides of a cut could have used the whole quota. Change: an entry VM that is lost keeps its share until it is proved gone, replaced, or lost for 10 minutes.

--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -40,7 +40,8 @@
 	addresses map[identifier.BackendID]string
 	batch     int // tasks taken from the queue at one time
 
-	peers    map[identifier.Member]identifier.FailureDomain
+	peers    map[identifier.Member]identifier.FailureDomain // linked
+	lost     map[identifier.Member]time.Time                // not linked any more, not known to have ended; since when
 	forwards map[peermessenger.RequestNumber]*forward
 	number   peermessenger.RequestNumber
 	claimer  *claimer.Claimer
@@ -71,6 +72,7 @@
 		addresses:      make(map[identifier.BackendID]string),
 		batch:          firstBatch,
 		peers:          make(map[identifier.Member]identifier.FailureDomain),
+		lost:           make(map[identifier.Member]time.Time),
 		forwards:       make(map[peermessenger.RequestNumber]*forward),
 		claimer: claimer.New(claimer.Options{
 			Self:       opts.Self,
@@ -110,7 +112,7 @@
 	case RosterAdopted:
 		m.claimerStep(now, claimer.RosterAdopted{Roster: e.Roster})
 	case MemberGone:
-		m.claimerStep(now, claimer.GoneProved{Member: e.Member})
+		m.memberGone(now, e.Member)
 	case StoreReachable:
 		m.storeReachable = e.Reachable
 	case StartEnded:
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -53,6 +53,8 @@
 	retryForward = 200 * time.Millisecond
 	// maxForwardAttempts bounds how often one request is sent to a peer.
 	maxForwardAttempts = 10
+	// forgetPeerAfter is how long a lost entry VM is taken to go on behind a cut.
+	forgetPeerAfter = 10 * time.Minute
 	// unreachableRetryAfter tells a caller when to come back to a home that can't be asked.
 	unreachableRetryAfter = time.Second
 )
--- a/internal/dispatcher/peers.go
+++ b/internal/dispatcher/peers.go
@@ -1,8 +1,8 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/claimer"
@@ -15,6 +15,7 @@
 
 func (m *Machine) peerUp(now time.Time, e PeerUp) {
 	m.peers[e.Member] = e.Domain
+	m.forgetEarlier(e.Member)
 	m.membersChanged(now)
 }
 
@@ -23,6 +24,7 @@
 		return
 	}
 	delete(m.peers, e.Member)
+	m.lost[e.Member] = now
 	m.forwardsLost(now, e.Member)
 	m.claimerStep(now, claimer.PeerLost{Member: e.Member})
 	m.placerStep(now, placer.PeerLost{Member: e.Member})
@@ -36,18 +38,62 @@
 	for member, domain := range m.peers {
 		members = append(members, placer.DomainMember{Member: member, Domain: domain})
 	}
-	slices.SortFunc(members, func(a, b placer.DomainMember) int {
-		return strings.Compare(a.Member.String(), b.Member.String())
-	})
+	slices.SortFunc(members, func(a, b placer.DomainMember) int { return compareMembers(a.Member, b.Member) })
 	m.placer.SetMembers(now, members)
-	names := make([]identifier.Member, len(members))
-	for i, member := range members {
-		names[i] = member.Member
-	}
-	m.limiterStep(now, limiter.MembersSet{Members: names})
+	m.limiterStep(now, limiter.MembersSet{Members: m.quotaHolders()})
 	m.pump(now)
 }
 
+// quotaHolders returns the entry VMs that may hold a share of a team's quota:
+// those that are linked, and those that may go on behind a cut.
+func (m *Machine) quotaHolders() []identifier.Member {
+	holders := []identifier.Member{m.opts.Self}
+	for member := range m.peers {
+		holders = append(holders, member)
+	}
+	for member := range m.lost {
+		holders = append(holders, member)
+	}
+	slices.SortFunc(holders, compareMembers)
+	return holders
+}
+
+func compareMembers(a, b identifier.Member) int {
+	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// forgetEarlier forgets the lost incarnations that a linked one has replaced.
+func (m *Machine) forgetEarlier(member identifier.Member) {
+	for l := range m.lost {
+		if l.VM == member.VM {
+			delete(m.lost, l)
+		}
+	}
+}
+
+// memberGone takes the proof that a process has ended.
+func (m *Machine) memberGone(now time.Time, member identifier.Member) {
+	m.claimerStep(now, claimer.GoneProved{Member: member})
+	if _, ok := m.lost[member]; ok {
+		delete(m.lost, member)
+		m.membersChanged(now)
+	}
+}
+
+// forgetLost forgets the entry VMs that were lost too long ago to come back.
+func (m *Machine) forgetLost(now time.Time) {
+	forgotten := false
+	for member, since := range m.lost {
+		if now.Sub(since) > forgetPeerAfter {
+			delete(m.lost, member)
+			forgotten = true
+		}
+	}
+	if forgotten {
+		m.membersChanged(now)
+	}
+}
+
 // limiterStep hands an event to the limiter and carries out what it asks for.
 func (m *Machine) limiterStep(now time.Time, e limiter.Event) {
 	freed := false
--- a/internal/dispatcher/quarantine.go
+++ b/internal/dispatcher/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
@@ -39,7 +38,7 @@
 	for member := range m.peers {
 		members = append(members, member)
 	}
-	slices.SortFunc(members, func(a, b identifier.Member) int { return strings.Compare(a.String(), b.String()) })
+	slices.SortFunc(members, compareMembers)
 	for _, member := range members {
 		m.emit(Send{To: member, Message: message})
 	}
--- a/internal/dispatcher/tick.go
+++ b/internal/dispatcher/tick.go
@@ -23,6 +23,7 @@
 	m.placerStep(now, placer.Tick{})
 	m.limiterStep(now, limiter.Tick{})
 	m.limiter.SetCapacity(now, m.placer.Slots(now))
+	m.forgetLost(now)
 	m.pump(now)
 	m.checkDrained()
 }
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -276,10 +276,6 @@
 	}
 }
 
-func compareMembers(a, b identifier.Member) int {
-	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
-}
-
 func (w *world) arrive(e envelope) {
 	vm, ok := w.vms[e.to.VM]
 	if !ok || vm.member != e.to {
