test(backendcaller): make the test of the bound on connections catch its defect

Change: the test starts tasks one after the other, so that each start finds the connections before it busy, and expects exactly as many connections as allowed.

Conclusion: the bound is held by a test that catches its absence.

--- a/internal/backendcaller/faults_test.go
+++ b/internal/backendcaller/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"time"
 
@@ -267,26 +266,27 @@
 	}
 }
 
+// TestConnectionsPerServerAreBounded starts tasks one after the other, so that
+// each finds the connections before it busy.
 func TestConnectionsPerServerAreBounded(t *testing.T) {
+	const tasks = 8
 	for _, bound := range []int{1, 3} {
-		fleet := newFleet(t, backendserver.Options{Count: 1, Slots: 32, UsageLag: time.Millisecond})
-		address := fleet.VMs()[0].Address
-		c := newCaller(t, backendcaller.Options{ConnectionsPerServer: bound})
-		var wg sync.WaitGroup
-		for i := range 32 {
-			wg.Go(func() {
-				s := startOf(i, `{"sleepMillis":20}`)
-				checkOutput(t, s, c.Start(t.Context(), address, s))
-			})
+		b := newBench(t, backendcaller.Options{ConnectionsPerServer: bound})
+		var results []<-chan backendcaller.StartResult
+		var refs []identifier.TaskRef
+		for i := range tasks {
+			s := startOf(i, `{"sleepMillis":60000}`)
+			results = append(results, b.begin(s))
+			refs = append(refs, s.Task)
 		}
-		wg.Wait()
-		usage, err := c.Usage(t.Context(), address)
-		if err != nil {
+		if made := b.caller.Messages()[backendcaller.HelloMessage].Needed / 2; made != uint64(bound) {
+			t.Errorf("got %d connections, want %d", made, bound)
+		}
+		if _, err := b.caller.Stop(b.ctx, b.address, refs); err != nil {
 			t.Fatal(err)
 		}
-		hello := c.Messages()[backendcaller.HelloMessage].Needed / 2
-		if usage.Connections > bound || hello > uint64(bound) {
-			t.Errorf("got %d connections, %d of them made, want at most %d", usage.Connections, hello, bound)
+		for _, result := range results {
+			expectCause(t, <-result, backendcaller.Stopped)
 		}
 	}
 }
