--- a/internal/operatorserver/client.go
+++ b/internal/operatorserver/client.go
@@ -37,7 +37,7 @@
 }
 
 // Error implements error.
-func (e *RefusedError) Error() string { return fmt.Sprintf("%s: %s", e.Cause, e.Detail) }
+func (e *RefusedError) Error() string { return fmt.Sprintf("%s (%s)", e.Detail, e.Cause) }
 
 // UnreachableError says that the server gave no answer.
 type UnreachableError struct{ err error }
