fix(enroller): note on the roster that the list showed a member late

Cause: a history of TestModel (rapid) ended unserved: a member had joined while its list lagged, was deleted, and nobody left had seen it listed, so its shards waited for ever. Change: what any list has shown counts, and a member that was listed only after it had joined notes it on the roster. Conclusion: a member that was ever listed can be proved deleted.

--- a/internal/claimer/directed_test.go
+++ b/internal/claimer/directed_test.go
@@ -367,3 +367,58 @@
 	r.wantEnding(3, "unverifiable, recordsLost")
 	r.wantGranted(1)
 }
+
+func TestFullTableRefusesOnTheWordOfTheWitness(t *testing.T) {
+	for name, full := range map[string]int{"home": 0, "witness": 1} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, defects{}, [2]int{0, 1})
+			r.claimers[full].opts.MaxRecords = 1
+			r.adopt(1, 0, 1)
+			r.ask(0, rigID)
+			r.flow(0, 1)
+			r.ask(0, "order:2")
+			r.wantEnding(0, "none")
+			r.flow(0, 1)
+			r.wantEnding(0, "refused, noCapacity")
+			r.ask(0, rigID)
+			r.wantGranted(1)
+
+			r.ask(0, "order:3")
+			r.queue = nil // the witness is silent: a later pair may have started it
+			r.now = r.now.Add(DefaultClaimTimeout)
+			r.do(0, Tick{})
+			r.wantEnding(0, "unverifiable, homeUnreachable")
+		})
+	}
+}
+
+func TestEarliestEndingsGiveWay(t *testing.T) {
+	r := newRig(t, 1, defects{}, [2]int{0, -1})
+	r.claimers[0].records.maxEndings = 300
+	r.adopt(1, 0)
+	for _, id := range []identifier.SubmissionID{"order:1", "order:2", "order:3"} {
+		r.ask(0, id)
+		r.do(0, JobEnded{Submission: id, Ending: declarer.Complete{Outputs: [][]byte{make([]byte, 100)}}})
+	}
+	r.ask(0, "order:1")
+	r.wantEnding(0, "unverifiable, answerLost")
+	r.ask(0, "order:3")
+	r.wantEnding(0, "complete")
+	r.wantGranted(3)
+}
+
+func TestJobOlderThanItsRecordDoesNotHoldTheDrain(t *testing.T) {
+	r := newRig(t, 1, defects{}, [2]int{0, -1})
+	r.adopt(1, 0)
+	r.ask(0, rigID)
+	r.do(0, DrainAsked{})
+	r.now = r.now.Add(2 * DefaultRetention)
+	r.do(0, Tick{})
+	if _, ok := r.claimers[0].Find(rigID); ok {
+		t.Error("the record is still kept")
+	}
+	r.do(0, JobEnded{Submission: rigID, Ending: declarer.Complete{}})
+	if last := r.answers[0][len(r.answers[0])-1]; last != (Drained{}) {
+		t.Errorf("last effect %#v", last)
+	}
+}
--- a/internal/enroller/change.go
+++ b/internal/enroller/change.go
@@ -44,7 +44,7 @@
 // for a list that shows its VM. Its entry then lets others prove later that the
 // VM was deleted, also those who have never seen it listed.
 func (e *Enroller) awaitsListing(now time.Time) bool {
-	return !e.list.readAt.IsZero() && !e.list.listed[e.opts.Self.VM] && now.Sub(e.bootedAt) < e.opts.ListWait
+	return !e.list.readAt.IsZero() && !e.list.seen(e.opts.Self.VM) && now.Sub(e.bootedAt) < e.opts.ListWait
 }
 
 func (e *Enroller) rosterRead(now time.Time, event RosterRead) (effects []Effect) {
@@ -93,7 +93,7 @@
 }
 
 func (e *Enroller) entry() RosterMember {
-	return RosterMember{Member: e.opts.Self, Address: e.opts.Address, Listed: e.list.listed[e.opts.Self.VM]}
+	return RosterMember{Member: e.opts.Self, Address: e.opts.Address, Listed: e.list.seen(e.opts.Self.VM)}
 }
 
 // proposal returns the roster that should follow r, if any should.
@@ -136,6 +136,9 @@
 	case i >= 0 && e.leaving && !(*members)[i].Leaving:
 		(*members)[i].Leaving = true
 		return true
+	case i >= 0 && !(*members)[i].Listed && e.list.seen(e.opts.Self.VM):
+		(*members)[i].Listed = true // the list showed this VM only after it had joined
+		return true
 	}
 	return false
 }
--- a/internal/enroller/enroller_test.go
+++ b/internal/enroller/enroller_test.go
@@ -208,6 +208,22 @@
 	}
 }
 
+func TestMemberNotesThatItWasListedAfterItJoined(t *testing.T) {
+	a := member("a", 1)
+	e, r := joined(a)
+	mustNot[ReadRoster](t, e.Step(start, Tick{}))
+	e.Step(start, VMListRead{VMs: []identifier.VMID{"a"}})
+	now := start.Add(DefaultRetryMax)
+	must[ReadRoster](t, e.Step(now, Tick{}))
+	swap := must[SwapRoster](t, e.Step(now, RosterRead{Roster: r, Revision: 1}))
+	if !swap.Roster.Members[0].Listed {
+		t.Errorf("swap %+v", swap.Roster.Members)
+	}
+	e.Step(now, SwapSucceeded{})
+	e.Step(now, VMListRead{})
+	mustNot[ReadRoster](t, e.Step(now.Add(time.Minute), Tick{}))
+}
+
 func TestFullHistoryFreezesTheRoster(t *testing.T) {
 	a := member("a", 1)
 	r := NewRoster(start, domain, entries(a))
--- a/internal/enroller/fates.go
+++ b/internal/enroller/fates.go
@@ -11,7 +11,7 @@
 type fate struct {
 	gone     bool // its process has ended, and this was reported
 	replaced bool // a later process on its VM was heard
-	listed   bool // the platform's list had shown its VM when it joined
+	listed   bool // the platform's list has shown its VM to it
 }
 
 // follow watches for the end of the members of a roster and its history.
@@ -30,9 +30,12 @@
 }
 
 func (e *Enroller) followMember(entry RosterMember) {
-	if _, ok := e.fates[entry.Member]; !ok && len(e.fates) < maxFollowed {
-		e.fates[entry.Member] = fate{listed: entry.Listed}
+	f, ok := e.fates[entry.Member]
+	if !ok && len(e.fates) >= maxFollowed {
+		return
 	}
+	f.listed = f.listed || entry.Listed
+	e.fates[entry.Member] = f
 }
 
 func (e *Enroller) forgetGone() {
--- a/internal/enroller/roster.go
+++ b/internal/enroller/roster.go
@@ -40,7 +40,7 @@
 	Member  identifier.Member `json:"member"`
 	Address string            `json:"address"`           // host:port for peers
 	Leaving bool              `json:"leaving,omitempty"` // holds no claims from this epoch on
-	Listed  bool              `json:"listed,omitempty"`  // the platform's list had shown the VM when it joined
+	Listed  bool              `json:"listed,omitempty"`  // the platform's list has shown the VM to it
 }
 
 // PastMembers lists the members of an earlier epoch.
--- a/internal/enroller/vmlist.go
+++ b/internal/enroller/vmlist.go
@@ -61,6 +61,11 @@
 	return ok && l.readAt.Sub(since) >= after
 }
 
+// seen reports whether a list that was read has shown a VM.
+func (l *vmList) seen(vm identifier.VMID) bool {
+	return l.listed[vm] || l.lacks(vm)
+}
+
 func (l *vmList) lacks(vm identifier.VMID) bool {
 	_, ok := l.missing[vm]
 	return ok
