refactor(profilekeeper): keep the adoption of a book inside the keeper

Cause: Apply was exported, though a call outside of Step would have lost the effect that reports the book in force. Nothing called it so. Change: it is unexported and named adopt, as its effect is. Conclusion: the only way to a keeper is Step; the package's tests pass unchanged.

--- a/internal/profilekeeper/exchange.go
+++ b/internal/profilekeeper/exchange.go
@@ -123,7 +123,7 @@
 // passed on to the own one.
 func (k *Keeper) takeFromPeer(now time.Time, from identifier.Member, b Book, age time.Duration) {
 	before := k.book
-	if !k.Apply(b) {
+	if !k.adopt(b) {
 		return
 	}
 	k.verified(now, age)
--- a/internal/profilekeeper/keeper.go
+++ b/internal/profilekeeper/keeper.go
@@ -132,8 +132,8 @@
 	return k.effects
 }
 
-// Apply makes a book the one in force if it is newer. It reports whether it did.
-func (k *Keeper) Apply(b Book) bool {
+// adopt makes a book the one in force if it is newer. It reports whether it did.
+func (k *Keeper) adopt(b Book) bool {
 	if b.Version <= k.book.Version {
 		if b.Version == k.book.Version && b.Chain != k.book.Chain {
 			k.counters.Diverged++
--- a/internal/profilekeeper/store.go
+++ b/internal/profilekeeper/store.go
@@ -38,7 +38,7 @@
 		return
 	}
 	before := k.book
-	if !k.Apply(b) && b.Chain != k.book.Chain {
+	if !k.adopt(b) && b.Chain != k.book.Chain {
 		return
 	}
 	k.verified(now, 0)
