perf(peerlinker): take memory for a link's outbox only while messages wait

Cause: each link held a ring of 8,192 messages, 131 KB, so that 300 peers took 49 MB of the 128 MB that control may take on a node.

--- a/internal/peerlinker/session.go
+++ b/internal/peerlinker/session.go
@@ -16,8 +16,7 @@
 	linker *Linker
 	conn   *websocket.Conn
 	peer   Peer
-	outbox chan peermessenger.Message
-	slow   chan struct{} // told by a send that found the outbox full
+	outbox *outbox
 
 	sentTable string // digest of the last table sent; owned by shareTable
 }
@@ -27,8 +26,7 @@
 		linker: l,
 		conn:   conn,
 		peer:   peer,
-		outbox: make(chan peermessenger.Message, outboxCapacity),
-		slow:   make(chan struct{}, 1),
+		outbox: newOutbox(),
 	}
 }
 
@@ -45,18 +43,7 @@
 }
 
 // send puts a message into the outbox. A full outbox takes the link down.
-func (s *session) send(m peermessenger.Message) bool {
-	select {
-	case s.outbox <- m:
-		return true
-	default:
-	}
-	select {
-	case s.slow <- struct{}{}:
-	default: // already told
-	}
-	return false
-}
+func (s *session) send(m peermessenger.Message) bool { return s.outbox.put(m) }
 
 // write sends what waits in the outbox, joined in batches.
 func (s *session) write(ctx context.Context) error {
@@ -64,51 +51,53 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-s.slow:
+		case <-s.outbox.wake:
+		}
+		messages, full := s.outbox.take()
+		if full {
 			return errors.New("the peer is too slow")
-		case first := <-s.outbox:
-			if err := s.writeBatch(ctx, first); err != nil {
+		}
+		for len(messages) > 0 {
+			n, err := s.writeBatch(ctx, messages)
+			if err != nil {
 				return err
 			}
+			messages = messages[n:]
 		}
 	}
 }
 
-func (s *session) writeBatch(ctx context.Context, first peermessenger.Message) error {
-	encoded, err := s.collect(first)
+// writeBatch sends as many of the messages as a frame takes, and returns their number.
+func (s *session) writeBatch(ctx context.Context, messages []peermessenger.Message) (int, error) {
+	encoded, err := encodeUpTo(messages, maxBatchBytes)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	frame, err := peermessenger.EncodeBatch(encoded)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	s.linker.counts.sent(len(encoded), len(frame))
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return s.conn.Write(ctx, websocket.MessageBinary, frame)
+	return len(encoded), s.conn.Write(ctx, websocket.MessageBinary, frame)
 }
 
-// collect encodes a message and those that wait behind it, up to a bound.
-func (s *session) collect(first peermessenger.Message) (encoded [][]byte, err error) {
+// encodeUpTo encodes messages, at least one, until they reach a size in bytes.
+func encodeUpTo(messages []peermessenger.Message, bytes int) (encoded [][]byte, err error) {
 	size := 0
-	m := first
-	for {
+	for _, m := range messages {
 		data, err := peermessenger.Encode(m)
 		if err != nil {
 			return nil, err
 		}
 		encoded = append(encoded, data)
 		size += len(data)
-		if size >= maxBatchBytes {
-			return encoded, nil
-		}
-		select {
-		case m = <-s.outbox:
-		default:
-			return encoded, nil
+		if size >= bytes {
+			break
 		}
 	}
+	return encoded, nil
 }
 
 // ping fails when the peer does not answer in time.
