--- a/internal/limiter/quota_test.go
+++ b/internal/limiter/quota_test.go
@@ -221,3 +221,23 @@
 		}
 	})
 }
+
+// TestQuotaReachesEachVM has one VM take a whole quota, and checks that another
+// one gets its part when it needs it, though the first one stays busy.
+func TestQuotaReachesEachVM(t *testing.T) {
+	f := newQuotaFleet(1, 4)
+	f.backlog[0] = true
+	for range 1000 {
+		f.tick()
+	}
+	if n := len(f.running[0]); n < quotaTestQuota/2 {
+		t.Fatalf("the first VM runs only %d tasks with a quota of %d", n, quotaTestQuota)
+	}
+	f.backlog[1] = true
+	for range 1000 {
+		f.tick()
+	}
+	if n := f.limiters[1].sortedLanes()[0].share.allowed; n < quotaTestQuota/4 {
+		t.Errorf("the second VM has a share of %d in a quota of %d", n, quotaTestQuota)
+	}
+}
--- a/internal/placer/reserve_test.go
+++ b/internal/placer/reserve_test.go
@@ -187,3 +187,79 @@
 		}
 	}
 }
+
+// TestNewsOfLeavingSpread checks that what one VM hears of a leaving backend
+// server closes it on all VMs, of all failure domains.
+func TestNewsOfLeavingSpread(t *testing.T) {
+	f := newFleet(1, 7, 9)
+	f.run(time.Second)
+	f.vms[0].step(StartRefused{Backend: "b000", Reason: Leaving})
+	f.run(time.Second)
+	for _, vm := range f.vms {
+		if b := vm.placer.backends["b000"]; b.open(f.now) {
+			t.Errorf("%v still gives it work", vm.member.Member)
+		}
+	}
+}
+
+// TestFallbackWithoutOwner checks that the slots of an owner that can't be
+// reached are used all the same.
+func TestFallbackWithoutOwner(t *testing.T) {
+	f := newFleet(1, 2, 4)
+	f.run(time.Second)
+	p := f.vms[0].placer
+	owned := len(p.Place(f.now, testWants(0, 32, Reserve{})))
+	p.Step(f.now, PeerLost{Member: f.vms[1].member.Member})
+	if n := owned + len(p.Place(f.now, testWants(32, 32-owned, Reserve{}))); owned == 32 || n < 32 {
+		t.Errorf("%d tasks are placed on own slots, %d on all of 32", owned, n)
+	}
+}
+
+// TestIdleSlotsGoBack checks that borrowed slots are soon free again at their
+// owners when no task needs them.
+func TestIdleSlotsGoBack(t *testing.T) {
+	for weighing, pace := range map[Weighing]pace{WeighResponse: responsePace, WeighMessages: messagesPace} {
+		f := newFleet(1, 2, 4)
+		f.run(time.Second)
+		f.vms[0].submit("job", slices.Repeat([]time.Duration{100 * time.Millisecond}, 32), Reserve{}, weighing)
+		f.run(100*time.Millisecond + pace.idle + pace.returnDelay + 10*testTick)
+		if n := f.vms[1].placer.ownedFree; len(f.vms[0].jobs) > 0 || n != 8*identifier.Slots(len(f.vms[1].placer.self.backends)) {
+			t.Errorf("%s: %d jobs run, the owner counts %d slots as free", weighing, len(f.vms[0].jobs), n)
+		}
+	}
+}
+
+// TestNewOwnerWaitsForReports checks that a VM lends and uses the slots that it
+// has come to own only when the others have had the time to report theirs.
+func TestNewOwnerWaitsForReports(t *testing.T) {
+	p := newFleet(1, 2, 4).vms[0].placer
+	if n := p.ownedFree; n != 0 {
+		t.Errorf("%d slots count as free at once", n)
+	}
+	p.Step(epoch.Add(settleTime), Tick{})
+	if n := p.ownedFree; n != 8*identifier.Slots(len(p.self.backends)) {
+		t.Errorf("%d slots count as free when the time is over", n)
+	}
+}
+
+// TestUnusedGrantExpires checks that a granted slot that fits no waiting task
+// goes back, though tasks wait.
+func TestUnusedGrantExpires(t *testing.T) {
+	f := newFleet(1, 2, 4)
+	p, owner := f.vms[0].placer, f.vms[1]
+	b := p.backends[owner.placer.self.backends[0].ID]
+	large := testWants(0, 1, Reserve{})
+	large[0].Millicores = b.Millicores + 1
+	p.Place(f.now, large)
+	p.Step(f.now, PeerReceived{From: owner.member.Member, Message: peermessenger.SlotGrant{
+		Sequence: 1,
+		Slots:    []peermessenger.SlotCount{{Backend: b.ID, Slots: 1}},
+	}})
+	if b.held != 1 {
+		t.Fatalf("%d slots are held after the grant", b.held)
+	}
+	p.Step(f.now.Add(responsePace.hold), Tick{})
+	if b.held != 0 {
+		t.Errorf("%d slots are held after the grant has expired", b.held)
+	}
+}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -123,6 +123,12 @@
 				o.step(BackendLost{Backend: id})
 			}
 		}, want: 1},
+		{name: "another rack lost", do: func(o *observer) {
+			o.step(RacksSet{Racks: map[identifier.BackendID]identifier.RackID{"a": "r", "b": "s", "c": "s", "d": "s"}})
+			for _, id := range []identifier.BackendID{"b", "c", "d"} {
+				o.step(BackendLost{Backend: id})
+			}
+		}, want: Unlimited},
 		{name: "servers of several racks lost", do: func(o *observer) {
 			o.step(RacksSet{Racks: map[identifier.BackendID]identifier.RackID{"a": "r", "b": "r", "c": "s", "d": "s"}})
 			for _, id := range []identifier.BackendID{"b", "c", "d"} {
