fix(quarantiner): take no proof from tasks that started before the failure

Cause: tasks that ran on a backend server before it broke ended well after the first failure and opened it again, up to once for each slot. Change: a success counts only if its task started after the one that failed; the first closing is 5 s in place of 1 s.

--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -45,7 +45,7 @@
 func (m *Machine) taskSucceeded(now time.Time, e StartEnded, j *runningJob, outcome TaskSucceeded) {
 	m.opts.Counters.TasksSucceeded.Add(1)
 	m.settle(now, e, true, outcome.RunTime)
-	m.quarantineStep(now, quarantiner.TaskSucceeded{Backend: e.Backend})
+	m.quarantineStep(now, quarantiner.TaskSucceeded{Backend: e.Backend, RunTime: outcome.RunTime})
 	if j == nil {
 		return
 	}
@@ -78,7 +78,7 @@
 func (m *Machine) taskFailed(now time.Time, e StartEnded, j *runningJob, outcome TaskFailed) {
 	m.opts.Counters.TasksFailed.Add(1)
 	if j != nil { // else it may have been stopped
-		m.quarantineStep(now, quarantiner.TaskFailed{Backend: e.Backend, Submission: e.Ref.Submission})
+		m.quarantineStep(now, quarantiner.TaskFailed{Backend: e.Backend, Submission: e.Ref.Submission, RunTime: outcome.RunTime})
 	}
 	m.settle(now, e, false, outcome.RunTime)
 	if j == nil {
--- a/internal/quarantiner/event.go
+++ b/internal/quarantiner/event.go
@@ -1,6 +1,8 @@
 package quarantiner
 
 import (
+	"time"
+
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
@@ -15,12 +17,16 @@
 }
 
 // TaskSucceeded tells that a task ended with success.
-type TaskSucceeded struct{ Backend identifier.BackendID }
+type TaskSucceeded struct {
+	Backend identifier.BackendID
+	RunTime time.Duration
+}
 
 // TaskFailed tells that a started task failed.
 type TaskFailed struct {
 	Backend    identifier.BackendID
 	Submission identifier.SubmissionID
+	RunTime    time.Duration
 }
 
 // BackendLost tells that a connection to a backend server was not made, or that
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,9 +1,10 @@
 // Package quarantiner decides which backend servers get no work, or only single
 // probes, because tasks fail there.
 //
-// A backend server where a task fails is closed for a moment. When the next
-// probe, of another job, fails as well, it is closed for longer, up to a bound;
-// a few probes that succeed open it again. A job that fails on several backend
+// A backend server where a task fails is closed for some seconds, unless a task
+// that was started after it succeeds. When the next probe, of another job, fails
+// as well, it is closed for longer, up to a bound; a few probes that succeed open
+// it again. A job that fails on several backend
 // servers does not count against them. A Quarantiner is deterministic: it reads
 // no clock, and its randomness comes from the generator handed in. It is not
 // safe for concurrent use.
@@ -19,7 +20,7 @@
 )
 
 const (
-	firstClosing  = time.Second      // after the first failed job
+	firstClosing  = 5 * time.Second  // after the first failed job
 	closingGrowth = 8                // factor from one closing to the next
 	maxClosing    = 10 * time.Minute // bound of its growth
 	closingJitter = 0.5              // share of a closing by which it may be longer
@@ -28,7 +29,7 @@
 	maxSuspects   = 4096             // backend servers under suspicion at once
 	maxFailedJobs = 4096             // failed jobs remembered at once
 	memory        = 10 * time.Minute // after the last failure, before a failed job is forgotten
-	sweepInterval = 10 * time.Second // between two looks for failed jobs to forget
+	sweepInterval = 5 * time.Second  // between two looks for failed jobs to forget
 	maxNews       = 1024             // failures in one message
 	rackLosses    = 3                // lost backend servers that make the rest of their rack suspect
 	rackWindow    = 2 * time.Second  // within which they have to be lost
@@ -65,9 +66,9 @@
 	case RacksSet:
 		q.setRacks(e.Racks)
 	case TaskSucceeded:
-		q.succeeded(e.Backend)
+		q.succeeded(e.Backend, now.Add(-e.RunTime))
 	case TaskFailed:
-		q.failed(now, e.Backend, e.Submission, true)
+		q.failed(now, now.Add(-e.RunTime), e.Backend, e.Submission, true)
 	case BackendLost:
 		q.lost(now, e.Backend)
 	case PeerReceived:
@@ -87,7 +88,7 @@
 		return
 	}
 	for _, f := range m.Failures {
-		q.failed(now, f.Backend, f.Submission, false)
+		q.failed(now, now, f.Backend, f.Submission, false)
 	}
 }
 
@@ -103,10 +104,11 @@
 }
 
 // succeeded opens a backend server that has shown that it works: at once when a
-// single job failed there, else after some probes.
-func (q *Quarantiner) succeeded(id identifier.BackendID) {
+// single job failed there, else after some probes. A task that was started before
+// the one that failed shows nothing.
+func (q *Quarantiner) succeeded(id identifier.BackendID, startedAt time.Time) {
 	s, ok := q.suspects[id]
-	if !ok {
+	if !ok || startedAt.Before(s.brokenAt) {
 		return
 	}
 	if s.phase == closed {
@@ -127,7 +129,7 @@
 }
 
 // failed takes in a failed task, seen by this VM or told by another one.
-func (q *Quarantiner) failed(now time.Time, id identifier.BackendID, job identifier.SubmissionID, seen bool) {
+func (q *Quarantiner) failed(now, startedAt time.Time, id identifier.BackendID, job identifier.SubmissionID, seen bool) {
 	if q.racks != nil {
 		if _, ok := q.racks[id]; !ok {
 			return
@@ -140,6 +142,9 @@
 		q.news = append(q.news, peermessenger.TaskFailure{Backend: id, Submission: job})
 	}
 	q.suspect(now, id, job)
+	if s, ok := q.suspects[id]; ok {
+		s.brokenAt = startedAt
+	}
 }
 
 // poisoned notes where a job failed, and reports whether it failed on several
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -71,30 +71,42 @@
 			o.fail("a", "1")
 			o.step(TaskSucceeded{Backend: "a"})
 		}, want: Unlimited},
+		{name: "task from before the failed one succeeds", do: func(o *observer) {
+			o.now = o.now.Add(time.Second)
+			o.fail("a", "1")
+			o.step(TaskSucceeded{Backend: "a", RunTime: 500 * time.Millisecond})
+		}, want: 0},
+		{name: "tasks from before the failed one succeed on probation", do: func(o *observer) {
+			o.fail("a", "1")
+			o.wait(2 * firstClosing)
+			for range neededProbes {
+				o.step(TaskSucceeded{Backend: "a", RunTime: 3 * firstClosing})
+			}
+		}, want: 1},
 		{name: "first closing over", do: func(o *observer) {
 			o.fail("a", "1")
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 		}, want: 1},
 		{name: "one job fails repeatedly", do: func(o *observer) {
 			o.fail("a", "1")
 			o.fail("a", "1")
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 		}, want: 1},
 		{name: "second job fails", do: func(o *observer) {
 			o.fail("a", "1")
 			o.fail("a", "2")
 			o.step(TaskSucceeded{Backend: "a"})
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 		}, want: 0},
 		{name: "probe fails", do: func(o *observer) {
 			o.fail("a", "1")
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 			o.fail("a", "2")
-			o.wait(7 * time.Second)
+			o.wait(7 * firstClosing)
 		}, want: 0},
 		{name: "probes succeed", do: func(o *observer) {
 			o.fail("a", "1")
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 			for range neededProbes {
 				o.step(TaskSucceeded{Backend: "a"})
 			}
@@ -108,14 +120,14 @@
 			o.step(PeerReceived{Message: peermessenger.TasksFailed{Failures: []peermessenger.TaskFailure{
 				{Backend: "a", Submission: "1"}, {Backend: "a", Submission: "2"},
 			}}})
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 		}, want: 0},
 		{name: "delisted and listed again", do: func(o *observer) {
 			o.fail("a", "1")
 			o.step(RacksSet{Racks: map[identifier.BackendID]identifier.RackID{"b": "r"}})
 			o.step(RacksSet{Racks: map[identifier.BackendID]identifier.RackID{"a": "r"}})
 			o.fail("a", "2")
-			o.wait(2 * time.Second)
+			o.wait(2 * firstClosing)
 		}, want: 1},
 		{name: "rack lost", do: func(o *observer) {
 			o.step(RacksSet{Racks: map[identifier.BackendID]identifier.RackID{"a": "r", "b": "r", "c": "r", "d": "r"}})
--- a/internal/quarantiner/suspect.go
+++ b/internal/quarantiner/suspect.go
@@ -19,6 +19,7 @@
 	backend  identifier.BackendID
 	phase    phase
 	closedAt time.Time
+	brokenAt time.Time                 // when the task that failed last was started
 	until    time.Time                 // end of the closed phase
 	strikes  int                       // closings since it was last found healthy
 	jobs     []identifier.SubmissionID // distinct ones that failed there
