fix(claimer): end fetches that nothing depends on any more

Cause: a request for the records of a member that had died went out ten times a second for ever once the other member of the pair had answered. Change: such fetches end, and requests that stay unanswered are repeated at growing intervals, to 3.2 s; a full table drops a page that comes instead of the request for it. Conclusion: a lost member costs its peers nothing after the takeover.

--- a/internal/claimer/directed_test.go
+++ b/internal/claimer/directed_test.go
@@ -422,3 +422,20 @@
 		t.Errorf("last effect %#v", last)
 	}
 }
+
+func TestFetchThatIsNotNeededEnds(t *testing.T) {
+	r := newRig(t, 4, defects{}, [2]int{0, 1}, [2]int{2, 3})
+	r.adopt(1, 0, 1, 2, 3)
+	r.adopt(2, 2, 3)
+	r.do(2, PeerLost{rigMember(0)})
+	r.flow(1, 2, 3)
+	if got := r.claimers[2].Stats().WholeShards; got != ShardCount {
+		t.Errorf("whole for %d shards", got)
+	}
+	r.queue = nil
+	r.now = r.now.Add(time.Minute)
+	r.do(2, Tick{})
+	if len(r.queue) != 0 {
+		t.Errorf("still sends %#v", r.queue)
+	}
+}
--- a/internal/claimer/fetch.go
+++ b/internal/claimer/fetch.go
@@ -12,6 +12,10 @@
 // taken for silent, so that the other member of the pair is asked too.
 const silentAfter = 3
 
+// maxResendDoublings bounds the growth of the time between requests that are not
+// answered.
+const maxResendDoublings = 5
+
 // fetch gathers the records of some shards from one member, page by page.
 type fetch struct {
 	request peermessenger.FetchRecords
@@ -20,7 +24,14 @@
 	tries   int
 }
 
+// startFetches asks the members for the shards that lack their records, and gives
+// up the fetches that nothing depends on any more.
 func (c *Claimer) startFetches(missing map[identifier.Member]shardMask) {
+	for m := range c.fetches {
+		if missing[m] == 0 {
+			delete(c.fetches, m)
+		}
+	}
 	for _, m := range sortedMembers(missing) {
 		if c.fetches[m] != nil {
 			continue
@@ -41,15 +52,12 @@
 func (c *Claimer) resendFetches() {
 	for _, m := range sortedMembers(c.fetches) {
 		f := c.fetches[m]
-		if c.now.Sub(f.sentAt) < c.opts.Resend {
+		if c.now.Sub(f.sentAt) < c.opts.Resend<<min(max(f.tries-silentAfter, 0), maxResendDoublings) {
 			continue
 		}
 		if f.tries >= silentAfter {
 			c.silent[m] = true
 		}
-		if c.overflowing() {
-			continue
-		}
 		c.sendFetch(m, f)
 	}
 }
@@ -129,6 +137,9 @@
 	if f == nil || m.Epoch != f.request.Epoch || m.Shards != f.request.Shards || m.From != f.request.From {
 		return
 	}
+	if c.overflowing() {
+		return // the page is asked for again
+	}
 	for i := range m.Records {
 		c.merge(&m.Records[i])
 	}
@@ -136,9 +147,7 @@
 	if !m.Last {
 		f.request.From = m.Next
 		f.tries = 0
-		if !c.overflowing() {
-			c.sendFetch(from, f)
-		}
+		c.sendFetch(from, f)
 		return
 	}
 	delete(c.fetches, from)
