feat(dispatcher): heed what a profile says of a cut

Cause: whileCutOff was read and checked, and nothing heeded it. Change: a profile may refuse new jobs while no other failure domain can be reached. Conclusion: serving a first attempt for a failure domain beyond the cut was weighed and left out: the next attempt would start it there a second time.

--- a/internal/dispatcher/check.go
+++ b/internal/dispatcher/check.go
@@ -41,11 +41,27 @@
 			Detail:     fmt.Sprintf("profile %q refuses new jobs while the platform's store is out of reach", profile.Name),
 			RetryAfter: unreachableRetryAfter,
 		}
+	case m.cutOff() && profile.WhileCutOff == profileparser.Refuse:
+		return &declarer.Refused{
+			Cause:      declarer.NoCapacity,
+			Detail:     fmt.Sprintf("profile %q refuses new jobs while no other failure domain can be reached", profile.Name),
+			RetryAfter: unreachableRetryAfter,
+		}
 	default:
 		return nil
 	}
 }
 
+// cutOff reports whether no entry VM of another failure domain is linked.
+func (m *Machine) cutOff() bool {
+	for _, domain := range m.peers {
+		if domain != m.opts.Domain {
+			return false
+		}
+	}
+	return len(m.opts.Domains) > 1
+}
+
 // checkFit refuses a job with a task that no backend server can hold.
 func (m *Machine) checkFit(job declarer.Job) *declarer.Refused {
 	if len(m.addresses) == 0 {
--- a/internal/profileparser/profile.go
+++ b/internal/profileparser/profile.go
@@ -23,7 +23,7 @@
 	Cancellation   Cancellation                         `cbor:"12,keyasint"`
 	Placement      Placement                            `cbor:"13,keyasint"`
 	WhileStoreDown Reachability                         `cbor:"14,keyasint"` // what new jobs get while the store is out of reach
-	WhileCutOff    Reachability                         `cbor:"15,keyasint"` // what a first attempt gets while its failure domain is cut off
+	WhileCutOff    Reachability                         `cbor:"15,keyasint"` // what new jobs get while no other failure domain can be reached
 	Objective      Objective                            `cbor:"16,keyasint"`
 	Retired        bool                                 `cbor:"17,keyasint,omitempty"` // running work ends; new work is refused
 }
