--- a/examples/run-separate-processes.sh
+++ b/examples/run-separate-processes.sh
@@ -126,7 +126,7 @@
 	local round vm pid
 	for ((round = 0; ; round++)); do
 		sleep "$fault_pause"
-		vm=$((round % entry_vms))
+		vm=$(((round + round / 3) % entry_vms))
 		pid=$(cat "$out/vm-$vm.pid")
 		case $((round % 3)) in
 		0)
