fix(limiter): count on the own share of a quota in admission

Cause: each VM admitted jobs as if the whole quota were its own, so that a team above its quota had jobs admitted that missed their deadlines. Change: a team's queue is weighed against this VM's share, with half of what runs; only an empty queue may count on the whole quota. Conclusion: a team above its quota is refused early instead of failing late.

--- a/internal/limiter/admit.go
+++ b/internal/limiter/admit.go
@@ -127,7 +127,7 @@
 			Detail: fmt.Sprintf("the job takes %v even when nothing waits, and %v are left", least.Round(time.Millisecond), left.Round(time.Millisecond)),
 		}
 	}
-	if ln.quota > 0 && max(longest, perSlot(ln.queuedWork+work, float64(ln.quota))) > left {
+	if ln.quota > 0 && ln.wait(work/time.Duration(max(1, len(r.Tasks))))+max(longest, perSlot(work, ln.attainable())) > left {
 		return l.refuse(declarer.OverQuota, "the team's quota under the profile does not let the job end in time")
 	}
 	if wait := l.wait(ln, r.Weight); wait+max(longest, perSlot(work, l.attainable())) > left {
@@ -145,6 +145,25 @@
 	return max(1, float64(l.capacity)/float64(l.members), float64(l.running))
 }
 
+// attainable is the number of slots that the lane can expect to hold at once on
+// this VM. Tasks that wait show that it has what it can get of its quota; else
+// all of the quota is open to it.
+func (l *lane) attainable() float64 {
+	if l.queued == 0 {
+		return float64(l.quota)
+	}
+	return float64(max(1, l.share.allowed, l.running))
+}
+
+// wait is the expected time until the quota lets the first task of a new job
+// run: that of the queue, and half of that of the running tasks.
+func (l *lane) wait(mean time.Duration) time.Duration {
+	if l.queued == 0 {
+		return 0
+	}
+	return perSlot(l.queuedWork+time.Duration(l.running)*mean/2, l.attainable())
+}
+
 // wait is the expected time until the first task of a new job is dispatched:
 // the lesser one of serving all that is queued and of the team's own queue at
 // its share of the slots.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -70,6 +70,25 @@
 	}
 }
 
+// TestAdmitCountsOnOwnShare has a team whose queue waits for this VM's half of
+// the quota, which the other VM's half does not shorten.
+func TestAdmitCountsOnOwnShare(t *testing.T) {
+	self := identifier.Member{VM: "a", Incarnation: 1}
+	l := New(Options{Self: self, Rand: rand.New(rand.NewPCG(1, 1))})
+	l.SetCapacity(epoch, 100)
+	l.Step(epoch, MembersSet{Members: []identifier.Member{self, {VM: "b", Incarnation: 1}}})
+	now := epoch.Add(quotaSettleTime)
+	l.Admit(now, Request{Submission: "earlier", Quota: 10, Tasks: needs(20, time.Second)})
+	request := Request{Submission: "late", Quota: 10, Tasks: needs(10, time.Second), Deadline: now.Add(5 * time.Second)}
+	if got := cause(l.Admit(now, request)); got != declarer.OverQuota {
+		t.Errorf("got %q, want %q", got, declarer.OverQuota)
+	}
+	request.Deadline = now.Add(7 * time.Second)
+	if refusal := l.Admit(now, request); refusal != nil {
+		t.Errorf("refused: %+v", refusal)
+	}
+}
+
 func cause(r *Refusal) declarer.RefusalCause {
 	if r == nil {
 		return ""
