feat(capacityplanner): derive the page of capacity from measured slopes

Change: 'pepperstand capacity' fits slopes to the output of benchmarks, works out what each role needs at the size to design for, and writes the page's tables; a test fails when the page is out of date; docs/capacity/measure.sh measures again.

--- a/cmd/pepperstand/internal/cmd/rootcmd.go
+++ b/cmd/pepperstand/internal/cmd/rootcmd.go
@@ -36,6 +36,7 @@
 	}
 	c.AddCommand(
 		newBackendCmd(),
+		newCapacityCmd(),
 		newExperimentCmd(),
 		newLoadCmd(),
 		newPlatformCmd(),
--- /dev/null
+++ b/internal/capacityplanner/page.go
@@ -0,0 +1,55 @@
+package capacityplanner
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// section is a part of the page that is derived.
+type section struct {
+	name string
+	text string
+}
+
+// Update returns the page with its derived sections made anew. A section stands
+// between the lines <!-- derived: name --> and <!-- end -->.
+func Update(page string, size Size, f Figures) (updated string, err error) {
+	defer func() { err = errors.Wrap(err, "deriving the page") }()
+	in, err := readInputs(f)
+	if err != nil {
+		return "", err
+	}
+	slopes, err := slopeTable(f)
+	if err != nil {
+		return "", err
+	}
+	p := newPlan(size, in)
+	updated = page
+	for _, s := range []section{
+		{"slopes", slopes},
+		{"data", markdown(p.dataRows())},
+		{"control", markdown(p.controlRows())},
+		{"storms", markdown(p.stormRows())},
+	} {
+		if updated, err = replaceSection(updated, s); err != nil {
+			return "", err
+		}
+	}
+	return updated, nil
+}
+
+const sectionEnd = "<!-- end -->"
+
+func replaceSection(page string, s section) (string, error) {
+	begin := "<!-- derived: " + s.name + " -->\n"
+	before, rest, found := strings.Cut(page, begin)
+	if !found {
+		return "", errors.Newf("the page has no section %q", s.name)
+	}
+	_, after, found := strings.Cut(rest, sectionEnd)
+	if !found {
+		return "", errors.Newf("section %q has no end", s.name)
+	}
+	return before + begin + s.text + sectionEnd + after, nil
+}
--- /dev/null
+++ b/internal/peerlinker/linker_test.go
@@ -0,0 +1,229 @@
+package peerlinker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// testPeer is a Linker with its listener, and the events that it reported.
+type testPeer struct {
+	linker *Linker
+	events chan Event
+	self   Peer
+
+	mu    sync.Mutex
+	cut   bool
+	conns []net.Conn
+}
+
+func newTestPeer(t *testing.T, name identifier.VMID, seeds ...string) *testPeer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &testPeer{
+		events: make(chan Event, 10_000),
+		self: Peer{
+			Member:  identifier.Member{VM: name, Incarnation: 1},
+			Domain:  "a",
+			Address: listener.Addr().String(),
+		},
+	}
+	p.linker = New(Options{
+		Self:   p.self,
+		Seeds:  seeds,
+		Handle: func(e Event) { p.events <- e },
+		Logger: log.NewNopLogger(),
+		Dial:   p.dial,
+	})
+	server := &http.Server{Handler: p.linker.Handler(), ReadHeaderTimeout: time.Second}
+	var served sync.WaitGroup
+	served.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		if err := p.linker.Close(); err != nil {
+			t.Error(err)
+		}
+		_ = server.Close()
+		served.Wait()
+	})
+	p.linker.Start()
+	return p
+}
+
+// dial connects unless the test has cut this peer's links.
+func (p *testPeer) dial(ctx context.Context, address string) (net.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut {
+		return nil, errors.New("cut")
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		p.conns = append(p.conns, conn)
+	}
+	return conn, err
+}
+
+// setCut cuts or restores the links that this peer dials.
+func (p *testPeer) setCut(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	if cut {
+		for _, conn := range p.conns {
+			_ = conn.Close()
+		}
+		p.conns = nil
+	}
+}
+
+// await returns the next event for which match holds.
+func (p *testPeer) await(match func(Event) bool) Event {
+	for e := range p.events {
+		if match(e) {
+			return e
+		}
+	}
+	return nil
+}
+
+func (p *testPeer) awaitUp(other *testPeer) {
+	p.await(func(e Event) bool {
+		up, ok := e.(PeerUp)
+		return ok && up.Peer == other.self
+	})
+}
+
+func (p *testPeer) awaitDown(other *testPeer) {
+	p.await(func(e Event) bool {
+		down, ok := e.(PeerDown)
+		return ok && down.Peer == other.self
+	})
+}
+
+// TestOrder holds that messages arrive whole, once and in their order.
+func TestOrder(t *testing.T) {
+	a := newTestPeer(t, "a")
+	b := newTestPeer(t, "b", a.self.Address)
+	a.awaitUp(b)
+	const messages = 5000
+	for n := range messages {
+		if !a.linker.Send(b.self.Member, peermessenger.ReportQuery{Number: peermessenger.RequestNumber(n)}) {
+			t.Fatalf("message %d was not taken", n)
+		}
+	}
+	for n := range messages {
+		e := b.await(func(e Event) bool { _, ok := e.(Received); return ok }).(Received)
+		if got := e.Message.(peermessenger.ReportQuery).Number; got != peermessenger.RequestNumber(n) {
+			t.Fatalf("message %d arrived in place of %d", got, n)
+		}
+		if e.From != a.self {
+			t.Fatalf("the sender is %v", e.From)
+		}
+	}
+}
+
+// TestMeshFromOneSeed holds that peers that know one address find all others.
+func TestMeshFromOneSeed(t *testing.T) {
+	peers := []*testPeer{newTestPeer(t, "vm0")}
+	for n := 1; n < 4; n++ {
+		peers = append(peers, newTestPeer(t, identifier.VMID(fmt.Sprint("vm", n)), peers[0].self.Address))
+	}
+	for _, p := range peers {
+		missing := map[identifier.VMID]bool{}
+		for _, other := range peers {
+			if other != p {
+				missing[other.self.Member.VM] = true
+			}
+		}
+		for len(missing) > 0 {
+			up := p.await(func(e Event) bool { _, ok := e.(PeerUp); return ok }).(PeerUp)
+			delete(missing, up.Peer.Member.VM)
+		}
+	}
+}
+
+// TestCutAndHeal holds that a cut link is reported, refuses messages, and comes
+// back.
+func TestCutAndHeal(t *testing.T) {
+	a := newTestPeer(t, "a")
+	b := newTestPeer(t, "b", a.self.Address)
+	a.awaitUp(b)
+	a.setCut(true)
+	a.awaitDown(b)
+	if a.linker.Send(b.self.Member, peermessenger.ReportQuery{}) {
+		t.Error("a message was taken over a cut link")
+	}
+	a.setCut(false)
+	a.awaitUp(b)
+	if !a.linker.Send(b.self.Member, peermessenger.ReportQuery{Number: 7}) {
+		t.Error("a message was not taken over a healed link")
+	}
+	b.await(func(e Event) bool {
+		r, ok := e.(Received)
+		return ok && r.Message == peermessenger.ReportQuery{Number: 7}
+	})
+}
+
+// TestOtherIncarnation holds that a message for an earlier process is not given
+// to its successor.
+func TestOtherIncarnation(t *testing.T) {
+	a := newTestPeer(t, "a")
+	b := newTestPeer(t, "b", a.self.Address)
+	a.awaitUp(b)
+	earlier := b.self.Member
+	earlier.Incarnation--
+	if a.linker.Send(earlier, peermessenger.ReportQuery{}) {
+		t.Error("a message for another incarnation was taken")
+	}
+}
+
+// TestFullOutbox holds that a peer that takes nothing costs bounded memory and
+// loses its link.
+func TestFullOutbox(t *testing.T) {
+	o := newOutbox()
+	for n := range outboxCapacity {
+		if !o.put(peermessenger.ReportQuery{Number: peermessenger.RequestNumber(n)}) {
+			t.Fatalf("message %d found no room", n)
+		}
+	}
+	if o.put(peermessenger.ReportQuery{}) {
+		t.Fatal("a message above the bound was taken")
+	}
+	if messages, full := o.take(); len(messages) != outboxCapacity || !full {
+		t.Fatalf("got %d messages, full %v", len(messages), full)
+	}
+}
+
+// FuzzHello holds that no headers make a peer with names out of bounds.
+func FuzzHello(f *testing.F) {
+	f.Add("vm", "1", "a", "127.0.0.1:80")
+	f.Add("", "-1", "", "nowhere")
+	f.Fuzz(func(t *testing.T, vm, incarnation, domain, address string) {
+		header := make(http.Header)
+		header.Set(vmHeader, vm)
+		header.Set(incarnationHeader, incarnation)
+		header.Set(domainHeader, domain)
+		header.Set(addressHeader, address)
+		peer, err := parseHello(header)
+		if err != nil {
+			return
+		}
+		if peer.Member.VM == "" || len(peer.Member.VM) > maxNameLength || peer.Domain == "" || len(peer.Domain) > maxNameLength {
+			t.Errorf("accepted %+v", peer)
+		}
+	})
+}
