--- a/cmd/peppertrack/internal/cmd/configcmd.go
+++ b/cmd/peppertrack/internal/cmd/configcmd.go
@@ -43,6 +43,9 @@
 		Args:  usageArgs(cobra.MaximumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			settings := settingsloader.Default()
+			if len(args) == 0 && len(set) > 0 {
+				return usageErrorf("--set needs a FILE")
+			}
 			if len(args) == 1 {
 				var err error
 				if settings, err = loadSettings(args[0], set); err != nil {
