fix(dispatcher): wait for a takeover, and doubt a refusal after two copies

A request that was sent to two peers could be told 'not run' by the second while the first still held a copy. A busy daemon said 'not run' of ids it had not looked at. Profiles' retryBudget and spill were read and not heeded. News of a later roster was dropped. Change: requests are sent again for 10 s, claims wait 5 s, a member is silent for 3 s; after two copies, and when busy, the answer is unverifiable with a time to come back; a profile's starts earn its own fraction of repeated starts; a task without spill stays in its failure domain; the roster hears of later epochs; the digest of a body holds the creation time of an opaque id.

--- a/internal/callerserver/dispatcher.go
+++ b/internal/callerserver/dispatcher.go
@@ -19,7 +19,7 @@
 }
 
 // BusyError reports that the daemon has no room for another request. Nothing
-// of the request was looked at.
+// of the request was looked at, so that an earlier attempt may have started.
 type BusyError struct {
 	RetryAfter time.Duration
 }
--- a/internal/callerserver/reply.go
+++ b/internal/callerserver/reply.go
@@ -79,7 +79,7 @@
 		writeReply(w, http.StatusBadRequest, reply{Ending: "refused", Cause: string(declarer.BadRequest), Field: field.Field, Detail: field.Problem})
 	case errors.As(err, &busy):
 		setRetryAfter(w, busy.RetryAfter)
-		writeReply(w, http.StatusServiceUnavailable, reply{Ending: "refused", Cause: string(declarer.QueueFull), Detail: busy.Error(), RetryAfterMillis: busy.RetryAfter.Milliseconds()})
+		writeReply(w, http.StatusConflict, reply{Ending: "unverifiable", Cause: string(declarer.NotLookedAt), Detail: busy.Error(), RetryAfterMillis: busy.RetryAfter.Milliseconds()})
 	case errors.As(err, &unauthenticated):
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		writeReply(w, http.StatusUnauthorized, reply{Ending: "refused", Cause: "unauthenticated", Detail: unauthenticated.Detail})
--- a/internal/declarer/answer.go
+++ b/internal/declarer/answer.go
@@ -90,5 +90,6 @@
 	RecordExpired   UnverifiableCause = "recordExpired"   // the id is older than records are kept
 	VMLost          UnverifiableCause = "vmLost"          // the entry VM that ran the job ended first
 	AnswerLost      UnverifiableCause = "answerLost"      // the job ran; its answer went with its VM
+	NotLookedAt     UnverifiableCause = "notLookedAt"     // too many requests are open
 	BodyMismatch    UnverifiableCause = "bodyMismatch"    // the id was used with another body
 )
--- a/internal/dispatcher/check.go
+++ b/internal/dispatcher/check.go
@@ -16,14 +16,14 @@
 	if !ok {
 		return &declarer.Refused{Cause: declarer.UnknownProfile, Detail: fmt.Sprintf("no profile has the name %q", j.job.Profile)}
 	}
-	j.setProfile(profile)
+	j.setProfile(profile, m.opts.Domain)
 	if refused := m.checkProfile(j.job, profile); refused != nil {
 		return refused
 	}
 	if now.After(j.deadline) {
 		return &declarer.Refused{Cause: declarer.DeadlineTooShort, Detail: "the deadline passed before the submission was claimed"}
 	}
-	return m.checkFit(j.job)
+	return m.checkFit(j)
 }
 
 func (m *Machine) checkProfile(job declarer.Job, profile profileparser.Profile) *declarer.Refused {
@@ -63,13 +63,13 @@
 }
 
 // checkFit refuses a job with a task that no backend server can hold.
-func (m *Machine) checkFit(job declarer.Job) *declarer.Refused {
+func (m *Machine) checkFit(j *runningJob) *declarer.Refused {
 	if len(m.addresses) == 0 {
 		return &declarer.Refused{Cause: declarer.NoCapacity, Detail: "no backend server is known", RetryAfter: unreachableRetryAfter}
 	}
 	var last placer.Want
-	for i, t := range job.Tasks {
-		want := placer.Want{Millicores: t.Cores, Memory: t.Memory, Accelerators: t.Requires}
+	for i, t := range j.job.Tasks {
+		want := placer.Want{Millicores: t.Cores, Memory: t.Memory, Accelerators: t.Requires, Domain: j.placeIn}
 		if i > 0 && want == last {
 			continue
 		}
--- a/internal/dispatcher/claims.go
+++ b/internal/dispatcher/claims.go
@@ -102,6 +102,8 @@
 			m.claimForwarded(now, effect)
 		case claimer.RecordsWhole:
 			m.emit(RecordsWhole{Epoch: effect.Epoch})
+		case claimer.EpochHeard:
+			m.emit(EpochHeard{From: effect.From, Epoch: effect.Epoch})
 		case claimer.Drained:
 			m.handedOver = true
 		}
--- a/internal/dispatcher/digest.go
+++ b/internal/dispatcher/digest.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash"
 
+	"github.com/peppertrack/peppertrack/internal/claimer"
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 )
@@ -16,6 +17,7 @@
 	writeString(h, string(job.Team))
 	writeString(h, string(job.Profile))
 	writeNumber(h, boolNumber(job.Unrepeatable))
+	writeNumber(h, createdMillis(job))
 	for _, t := range job.Tasks {
 		writeString(h, string(t.Payload))
 		writeNumber(h, uint64(t.RunTime))
@@ -28,6 +30,16 @@
 	return d
 }
 
+// createdMillis returns when the submission id was made, in Unix milliseconds. An
+// opaque id has to come with the same time on each attempt.
+func createdMillis(job declarer.Job) uint64 {
+	s, err := claimer.ParseSubmission(job.Submission, job.CreatedAt)
+	if err != nil {
+		return 0 // such a job is refused before it is compared
+	}
+	return uint64(s.CreatedAt.UnixMilli())
+}
+
 func writeString(h hash.Hash, s string) {
 	writeNumber(h, uint64(len(s)))
 	_, _ = h.Write([]byte(s)) // never fails
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -54,6 +54,12 @@
 // RecordsWhole reports that this entry VM holds all records of its shards in an epoch.
 type RecordsWhole struct{ Epoch identifier.Epoch }
 
+// EpochHeard reports that a member knows of a later roster than this entry VM.
+type EpochHeard struct {
+	From  identifier.Member
+	Epoch identifier.Epoch
+}
+
 // Drained reports that the process may end: no job runs here, and the records
 // are on peers.
 type Drained struct{}
@@ -64,4 +70,5 @@
 func (StopTasks) isEffect()    {}
 func (JobObserved) isEffect()  {}
 func (RecordsWhole) isEffect() {}
+func (EpochHeard) isEffect()   {}
 func (Drained) isEffect()      {}
--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -15,6 +15,7 @@
 	to        identifier.Member
 	message   peermessenger.Message // without its number
 	attempts  int
+	sent      bool      // at least once
 	resendAt  time.Time // zero: it was sent and the peer is up
 	until     time.Time
 }
@@ -55,6 +56,7 @@
 		return
 	}
 	f.resendAt = time.Time{}
+	f.sent = true
 	m.emit(Send{To: f.to, Message: numbered(f.message, number)})
 }
 
@@ -120,6 +122,9 @@
 	}
 	id, createdAt := subject(f.message)
 	home, denial := m.home(id, createdAt)
+	if f.sent {
+		f.requester = doubtful(f.requester)
+	}
 	switch {
 	case denial != nil:
 		f.attempts++
@@ -161,7 +166,7 @@
 // dropForward forgets the forwarded request of a caller that hung up.
 func (m *Machine) dropForward(r requester) {
 	for number, f := range m.forwards {
-		if f.requester == r {
+		if isFrom(f.requester, r) {
 			delete(m.forwards, number)
 			return
 		}
--- /dev/null
+++ b/internal/dispatcher/forward_test.go
@@ -0,0 +1,54 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+	"github.com/peppertrack/peppertrack/internal/profileparser"
+)
+
+// TestRefusalAfterTwoCopies holds that a request that went to two peers is not
+// told as "not run" when the second refuses: the first, paused, may still pass
+// its copy on.
+func TestRefusalAfterTwoCopies(t *testing.T) {
+	m, now := checkMachine(profileparser.Default())
+	job := declarer.Job{
+		Submission: "b.019b76da-a800-7000-8000-000000000001",
+		Team:       "t",
+		Profile:    "p",
+		Tasks:      make([]declarer.Task, 1),
+	}
+	first := sentJob(t, m.Step(now, SubmitAsked{Request: 1, Job: job, Wait: true}))
+	m.Step(now, PeerDown{Member: first.To})
+	second := identifier.Member{VM: "second", Incarnation: 1}
+	m.Step(now, PeerUp{Member: second, Domain: "b"})
+	now = now.Add(time.Second)
+	again := sentJob(t, m.Step(now, Tick{}))
+	if again.To != second {
+		t.Fatalf("the second copy went to %v", again.To)
+	}
+	number := again.Message.(peermessenger.SubmitJob).Number
+	refused := declarer.Status{Known: true, Ending: declarer.Refused{Cause: declarer.QueueFull, RetryAfter: 3 * time.Second}}
+	got := firstReply(m.Step(now, PeerReceived{From: second, Message: peermessenger.NewJobReply(number, refused)}))
+	unverifiable, ok := got.Ending.(declarer.Unverifiable)
+	if !ok || unverifiable.RetryAfter != 3*time.Second {
+		t.Errorf("got %+v, want unverifiable with the time to come back", got)
+	}
+}
+
+// sentJob returns the only SubmitJob among effects.
+func sentJob(t *testing.T, effects []Effect) Send {
+	t.Helper()
+	for _, effect := range effects {
+		if s, ok := effect.(Send); ok {
+			if _, ok := s.Message.(peermessenger.SubmitJob); ok {
+				return s
+			}
+		}
+	}
+	t.Fatalf("no job was sent: %v", effects)
+	return Send{}
+}
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -40,6 +40,7 @@
 	longest      time.Duration // run time of a task so far
 	policy       placer.Policy
 	weighing     placer.Weighing
+	placeIn      identifier.FailureDomain // the only one where its tasks may run; empty: any
 }
 
 func newRunningJob(now time.Time, job declarer.Job, hops uint8) *runningJob {
@@ -55,7 +56,7 @@
 }
 
 // setProfile sets how the job is treated.
-func (j *runningJob) setProfile(profile profileparser.Profile) {
+func (j *runningJob) setProfile(profile profileparser.Profile, domain identifier.FailureDomain) {
 	deadline := profile.Deadline
 	if j.job.Deadline > 0 {
 		deadline = min(j.job.Deadline, profile.Deadline)
@@ -65,6 +66,9 @@
 	j.unrepeatable = j.job.Unrepeatable || !profile.Repeatable
 	j.policy = policyOf(profile.Placement)
 	j.weighing = weighingOf(profile.Placement)
+	if !profile.Placement.Spill {
+		j.placeIn = domain
+	}
 }
 
 // status returns the status of a job that has not ended.
@@ -120,5 +124,6 @@
 		Weighing:     j.weighing,
 		Since:        j.arrived,
 		Policy:       j.policy,
+		Domain:       j.placeIn,
 	}
 }
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -80,6 +80,8 @@
 			Retention:  opts.Retention,
 			ClockBound: opts.ClockBound,
 			MaxRecords: opts.MaxRecords,
+
+			ClaimTimeout: claimTimeout,
 		}),
 	}
 }
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -52,7 +52,10 @@
 	// retryForward is the pause before a forward whose peer went away is sent again.
 	retryForward = 200 * time.Millisecond
 	// maxForwardAttempts bounds how often one request is sent to a peer.
-	maxForwardAttempts = 10
+	maxForwardAttempts = 50
+	// claimTimeout bounds how long a claim waits for its witness. It covers the
+	// time in which a silent member is replaced and its records move.
+	claimTimeout = 5 * time.Second
 	// forgetPeerAfter is how long a lost entry VM is taken to go on behind a cut.
 	forgetPeerAfter = 10 * time.Minute
 	// unreachableRetryAfter tells a caller when to come back to a home that can't be asked.
--- a/internal/dispatcher/submit.go
+++ b/internal/dispatcher/submit.go
@@ -89,8 +89,10 @@
 		Priority:   j.profile.Priority,
 		Quota:      j.profile.Quota(j.job.Team),
 		QueueBound: j.profile.QueueBound,
-		Tasks:      needs,
-		Deadline:   j.deadline,
+
+		RetryFraction: j.profile.RetryBudget,
+		Tasks:         needs,
+		Deadline:      j.deadline,
 	}
 }
 
@@ -123,5 +125,5 @@
 	if !ok {
 		return
 	}
-	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return w.requester == caller })
+	j.waiters = slices.DeleteFunc(j.waiters, func(w waiter) bool { return isFrom(w.requester, caller) })
 }
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -26,7 +26,7 @@
 	worldBackends = 4
 	worldSlots    = 3
 	worldDeadline = 5 * time.Second
-	stragglerOdds = 100              // one task in so many
+	stragglerOdds = 30               // one task in so many
 	settleTime    = 30 * time.Second // in which every request must be answered once faults stop
 )
 
--- a/internal/limiter/dispatch.go
+++ b/internal/limiter/dispatch.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 
@@ -25,7 +26,7 @@
 	fresh := len(j.returned) == 0
 	i := j.pop()
 	if fresh {
-		l.retries.countStart()
+		l.retries.countStart(cmp.Or(j.retries, l.opts.RetryFraction))
 	}
 	j.states[i] = taskDispatched
 	l.virtual = max(l.virtual, t.virtual)
--- a/internal/limiter/job.go
+++ b/internal/limiter/job.go
@@ -21,7 +21,8 @@
 	submission identifier.SubmissionID
 	lane       *lane
 	weight     float64
-	order      int64 // key among the jobs of the lane; the least goes first
+	retries    float64 // repeated starts that each first start allows
+	order      int64   // key among the jobs of the lane; the least goes first
 	needs      []TaskNeed
 	states     []taskState
 	next       int                    // tasks before it have been dispatched at least once
@@ -39,6 +40,7 @@
 		submission: r.Submission,
 		lane:       l,
 		weight:     r.Weight,
+		retries:    r.RetryFraction,
 		order:      order,
 		needs:      r.Tasks,
 		states:     make([]taskState, len(r.Tasks)),
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -61,7 +61,7 @@
 		members:  1,
 		confirms: make(map[identifier.Member][]peermessenger.QuotaWish),
 		lost:     make(map[identifier.Member]bool),
-		retries:  newTokenBucket(opts.RetryFraction),
+		retries:  newTokenBucket(),
 	}
 }
 
--- a/internal/limiter/request.go
+++ b/internal/limiter/request.go
@@ -8,15 +8,16 @@
 
 // Request asks for the admission of a whole job.
 type Request struct {
-	Submission identifier.SubmissionID
-	Team       identifier.Team
-	Profile    identifier.ProfileName
-	Weight     float64          // of the team's share of the slots; 0 takes 1
-	Priority   int              // each level goes before jobs of its team that came up to priorityLead earlier
-	Quota      identifier.Slots // bound of the team's running tasks under the profile, over all entry VMs; 0: none
-	QueueBound int              // bound of the team's queued tasks under the profile on this VM; 0: none
-	Tasks      []TaskNeed       // kept by the Limiter
-	Deadline   time.Time        // zero: none
+	Submission    identifier.SubmissionID
+	Team          identifier.Team
+	Profile       identifier.ProfileName
+	Weight        float64          // of the team's share of the slots; 0 takes 1
+	Priority      int              // each level goes before jobs of its team that came up to priorityLead earlier
+	Quota         identifier.Slots // bound of the team's running tasks under the profile, over all entry VMs; 0: none
+	RetryFraction float64          // repeated starts that each first start allows; 0 takes the limiter's
+	QueueBound    int              // bound of the team's queued tasks under the profile on this VM; 0: none
+	Tasks         []TaskNeed       // kept by the Limiter
+	Deadline      time.Time        // zero: none
 }
 
 // TaskNeed is the time for which a task is expected to hold its slot.
--- a/internal/limiter/tokenbucket.go
+++ b/internal/limiter/tokenbucket.go
@@ -7,17 +7,15 @@
 	retryRate  = 10.0 // tokens a second, without any start
 )
 
-// tokenBucket holds the budget of repeated starts: each first start adds a
-// fraction of a token, each repeated start takes one.
+// tokenBucket holds the budget of repeated starts: each first start adds the
+// fraction of a token that its profile states, each repeated start takes one. All
+// profiles of an entry VM share it.
 type tokenBucket struct {
-	fraction float64
 	tokens   float64
 	filledAt time.Time
 }
 
-func newTokenBucket(fraction float64) tokenBucket {
-	return tokenBucket{fraction: fraction, tokens: retryBurst}
-}
+func newTokenBucket() tokenBucket { return tokenBucket{tokens: retryBurst} }
 
 func (b *tokenBucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
@@ -32,6 +30,6 @@
 
 func (b *tokenBucket) allows() bool { return b.tokens >= 1 }
 
-func (b *tokenBucket) countStart() { b.add(b.fraction) }
+func (b *tokenBucket) countStart(fraction float64) { b.add(fraction) }
 
 func (b *tokenBucket) countRetry() { b.tokens-- }
--- a/internal/placer/backend.go
+++ b/internal/placer/backend.go
@@ -21,5 +21,8 @@
 
 // holds reports whether the backend server, when idle, could hold the task.
 func (b *Backend) holds(w *Want) bool {
+	if w.Domain != "" && w.Domain != b.Domain {
+		return false
+	}
 	return w.Millicores <= b.Millicores && w.Memory <= b.Memory && w.Accelerators <= b.Accelerators
 }
--- a/internal/placer/borrow.go
+++ b/internal/placer/borrow.go
@@ -118,7 +118,7 @@
 func (p *Placer) lenders(now time.Time) []*peer {
 	var lenders []*peer
 	for _, v := range p.peers {
-		if !v.lost && v.lender.slots > 0 {
+		if !v.lost && v.lender.slots > 0 && (p.demand.spilling > 0 || v.Domain == p.self.Domain) {
 			lenders = append(lenders, v)
 		}
 	}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -11,6 +11,7 @@
 	response identifier.Slots // tasks that weigh the response time more
 	messages identifier.Slots // tasks that weigh the messages more
 	since    time.Time        // when the task that waits longest began to
+	spilling identifier.Slots // tasks that may run in any failure domain
 	need     Want             // the largest sizes
 }
 
@@ -41,6 +42,9 @@
 	if !w.Since.IsZero() && (d.since.IsZero() || w.Since.Before(d.since)) {
 		d.since = w.Since
 	}
+	if w.Domain == "" {
+		d.spilling++
+	}
 	if w.Weighing == WeighMessages {
 		d.messages++
 	} else {
--- a/internal/placer/want.go
+++ b/internal/placer/want.go
@@ -14,11 +14,15 @@
 	Memory       identifier.Mebibytes
 	Accelerators declarer.Accelerators
 	Weighing     Weighing
-	Since        time.Time // when the task began to wait; zero: now
-	Policy       Policy    // nil takes the placer's default
+	Since        time.Time                // when the task began to wait; zero: now
+	Policy       Policy                   // nil takes the placer's default
+	Domain       identifier.FailureDomain // the only one where the task may run; empty: any
 }
 
-// covers reports whether the sizes are at least those of another task.
+// covers reports whether the task is at least as hard to place as another one.
 func (w *Want) covers(other *Want) bool {
+	if other.Domain != "" && other.Domain != w.Domain {
+		return false
+	}
 	return other.Millicores <= w.Millicores && other.Memory <= w.Memory && other.Accelerators <= w.Accelerators
 }
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -18,6 +18,8 @@
 		r.backends.stop(e)
 	case dispatcher.RecordsWhole:
 		r.rosterRing.offer(enroller.RecordsWhole{Epoch: e.Epoch})
+	case dispatcher.EpochHeard:
+		r.rosterRing.offer(enroller.EpochHeard{From: e.From, Epoch: e.Epoch})
 	case dispatcher.JobObserved:
 		r.observe(e)
 	case dispatcher.Drained:
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -36,6 +36,7 @@
 	serverHeaderTimeout  = 5 * time.Second
 	usageInterval        = time.Second
 	shutdownHTTPTimeout  = 2 * time.Second
+	suspectAfter         = 3 * time.Second // of silence before a member leaves the roster
 	busyRetryAfter       = 250 * time.Millisecond
 	certificateInterval  = 10 * time.Second
 )
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -163,6 +163,8 @@
 			Self:    r.self,
 			Address: r.listeners.peers.Addr().String(),
 			Rand:    r.newRand(),
+
+			SuspectAfter: suspectAfter,
 		}),
 		store:    r.platform,
 		key:      enroller.StoreKey(r.opts.Settings.FailureDomain),
