--- a/internal/limiter/dispatch.go
+++ b/internal/limiter/dispatch.go
@@ -48,27 +48,6 @@
 	j.lane.team.running += n
 }
 
-// Return puts a dispatched task that was not started back to the front of its
-// job, as soon as the budget of repeated starts allows. It reports false when
-// the job was removed: then the task has ended without a start.
-func (l *Limiter) Return(now time.Time, ref identifier.TaskRef) bool {
-	j := l.dispatched(ref)
-	if j == nil {
-		return false
-	}
-	l.addRunning(j, ref.Index, -1)
-	j.lane.team.charge(-j.expected(ref.Index), j.weight)
-	if j.removed {
-		l.endTask(j, ref.Index)
-		return false
-	}
-	l.addQueued(j, 1, j.expected(ref.Index))
-	l.park(j, ref.Index)
-	l.releaseParked(now)
-	l.reorder(j.lane.team)
-	return true
-}
-
 // Ended settles a dispatched task that ended, with or without success. It
 // corrects the charge to the time for which the task held its slot.
 func (l *Limiter) Ended(_ time.Time, ref identifier.TaskRef, runTime time.Duration) {
