test(systemrunner): cut failure domains and replace every entry VM on sockets

Cause: partition and replacement were tested on cores alone; and an entry VM waited 5 s for the platform's list to show it, in try, tests and the script of separate processes, where nobody listed it.

--- a/examples/run-separate-processes.sh
+++ b/examples/run-separate-processes.sh
@@ -95,6 +95,9 @@
 	local port domain
 	port=$(callers_port "$1")
 	domain=$(domain_of "$1")
+	# The platform lists the VMs that it starts.
+	curl -sf -o /dev/null "http://$platform/v1/vms" -d "{\"ttlMillis\":0,\"vms\":[{\"id\":\"vm-$1\",
+		\"kind\":\"entryVM\",\"failureDomain\":\"$domain\",\"address\":\"127.0.0.1:$port\",\"state\":\"live\"}]}"
 	"$bin/peppertrackd" \
 		--set "vm=vm-$1" \
 		--set "failureDomain=$domain" \
--- a/internal/runner/rosterduty.go
+++ b/internal/runner/rosterduty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,10 +23,12 @@
 	connect  func(address string)
 	adopt    func(*enroller.Roster)
 	dispatch ring[dispatcher.Event]
+	calls    sync.WaitGroup // of the store
 }
 
-// run steps the machine until the context ends.
+// run steps the machine until the context ends, and waits for the store's calls.
 func (d *rosterDuty) run(ctx context.Context) error {
+	defer d.calls.Wait()
 	ticker := time.NewTicker(controlTickInterval)
 	defer ticker.Stop()
 	for {
@@ -46,9 +49,9 @@
 		case enroller.Send:
 			d.send(effect)
 		case enroller.ReadRoster:
-			go d.read(ctx)
+			d.calls.Go(func() { d.read(ctx) })
 		case enroller.SwapRoster:
-			go d.swap(ctx, effect)
+			d.calls.Go(func() { d.swap(ctx, effect) })
 		case enroller.Adopted:
 			d.adopted(effect.Roster)
 		case enroller.MemberGone:
--- a/internal/systemrunner/options.go
+++ b/internal/systemrunner/options.go
@@ -19,4 +19,7 @@
 	AdjustVMSettings func(*settingsloader.Settings) // nil: the defaults
 }
 
-const anyPort = "127.0.0.1:0"
+const (
+	anyPort       = "127.0.0.1:0"
+	listedAddress = "127.0.0.1:1"
+)
--- a/internal/systemrunner/system.go
+++ b/internal/systemrunner/system.go
@@ -87,8 +87,12 @@
 // StartVM starts an entry VM, or a later incarnation of one that has ended.
 func (s *System) StartVM(vm identifier.VMID, domain identifier.FailureDomain) (err error) {
 	defer func() { err = errors.Wrapf(err, "starting entry VM %s", vm) }()
+	settings := s.settings(vm, domain)
+	if err := s.list(settings); err != nil {
+		return err
+	}
 	r, err := runner.Start(runner.Options{
-		Settings: s.settings(vm, domain),
+		Settings: settings,
 		Logger:   s.opts.Logger,
 		Dial:     s.links.dialer(domain),
 	})
@@ -103,6 +107,18 @@
 	return nil
 }
 
+// list puts an entry VM on the platform's list, as the platform does with the
+// VMs that it starts. The address on the list is used by nobody.
+func (s *System) list(settings settingsloader.Settings) error {
+	return s.platform.Memory().Register(context.Background(), []platformcaller.VM{{
+		ID:            string(settings.VM),
+		Kind:          platformcaller.EntryVM,
+		FailureDomain: settings.FailureDomain,
+		Address:       listedAddress,
+		State:         platformcaller.Live,
+	}}, 0)
+}
+
 func (s *System) settings(vm identifier.VMID, domain identifier.FailureDomain) settingsloader.Settings {
 	settings := settingsloader.Default()
 	settings.VM = vm
@@ -138,7 +154,8 @@
 	if r == nil {
 		return errors.Newf("no entry VM %s runs", vm)
 	}
-	return r.Shutdown(ctx)
+	err := r.Shutdown(ctx)
+	return errors.CombineErrors(err, s.platform.Memory().Remove(ctx, []string{string(vm)}))
 }
 
 // Cut cuts the links between two failure domains, in both directions.
