fix(peerlinker,dispatcher): dial a silent peer again; give up at the deadline

Change: a frame from a peer restores the link to it; a forwarded job is given up on 1 s after its deadline. The seeded defect that forgets requests now also keeps them from being given up on, since the earlier bound alone would answer them.

--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,19 +29,18 @@
 	}
 	m.opts.Counters.JobsForwarded.Add(1)
 	m.number++
-	f := &forward{requester: r, to: to, message: message, until: now.Add(forwardWait(message))}
+	f := &forward{requester: r, to: to, message: message, until: now.Add(m.forwardWait(message))}
 	m.forwards[m.number] = f
 	m.sendForward(now, m.number, f)
 }
 
-// forwardWait returns how long a request waits for a peer.
-func forwardWait(message peermessenger.Message) time.Duration {
+// forwardWait returns how long a request waits for a peer. A job waits until its
+// deadline: from then on its home would refuse it.
+func (m *Machine) forwardWait(message peermessenger.Message) time.Duration {
 	switch message := message.(type) {
 	case peermessenger.SubmitJob:
-		if message.Job.Deadline > 0 {
-			return message.Job.Deadline + forwardTimeout
-		}
-		return longestForward
+		deadline := cmp.Or(message.Job.Deadline, m.profiles[message.Job.Profile].Deadline, longestForward)
+		return deadline + forwardTimeout
 	case peermessenger.AttachJob:
 		return message.Wait + forwardTimeout
 	default:
@@ -104,7 +104,7 @@
 	for _, number := range m.sortedForwards() {
 		f := m.forwards[number]
 		switch {
-		case now.After(f.until):
+		case now.After(f.until) && !m.opts.defects.dropForwards:
 			delete(m.forwards, number)
 			m.replyEnding(f.requester, homeUnreachable("the home of the submission did not answer in time"))
 		case !f.resendAt.IsZero() && !now.Before(f.resendAt):
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -29,7 +29,7 @@
 	mixOutputs    bool // outputs are put at the wrong index
 	endEarly      bool // a job is complete before its last task has ended
 	skipClaim     bool // a job starts without a claim
-	dropForwards  bool // requests of a lost peer are never sent again
+	dropForwards  bool // requests of a lost peer are never sent again nor given up
 	denyStarts    bool // running tasks are reported as never started
 }
 
@@ -46,9 +46,9 @@
 	// maxHops bounds how often a request is forwarded.
 	maxHops = 3
 	// forwardTimeout bounds how long a forwarded request waits beyond its own deadline.
-	forwardTimeout = 5 * time.Second
-	// longestForward bounds how long a submission without a deadline waits for a peer.
-	longestForward = time.Hour
+	forwardTimeout = time.Second
+	// longestForward bounds how long a submission waits for a peer when its deadline is not known.
+	longestForward = 10 * time.Second
 	// retryForward is the pause before a forward whose peer went away is sent again.
 	retryForward = 200 * time.Millisecond
 	// maxForwardAttempts bounds how often one request is sent to a peer.
--- a/internal/peerlinker/handler.go
+++ b/internal/peerlinker/handler.go
@@ -59,6 +59,7 @@
 			return
 		}
 		l.counts.received(len(messages), len(frame))
+		l.Connect(peer.Address) // the link back may have been forgotten in a long silence
 		for _, m := range messages {
 			l.deliver(peer, m)
 		}
--- a/internal/peerlinker/link.go
+++ b/internal/peerlinker/link.go
@@ -29,7 +29,7 @@
 			lastUp = time.Now()
 			wait = redialShortest
 		}
-		if time.Since(lastUp) > forgetAfter && !k.isSeed() {
+		if time.Since(lastUp) > k.linker.opts.ForgetAfter && !k.isSeed() {
 			k.linker.forget(k)
 			return nil
 		}
--- a/internal/peerlinker/linker.go
+++ b/internal/peerlinker/linker.go
@@ -32,6 +32,9 @@
 
 // New returns a Linker that has no link before Start.
 func New(opts Options) *Linker {
+	if opts.ForgetAfter == 0 {
+		opts.ForgetAfter = DefaultForgetAfter
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Linker{
 		opts:   opts,
--- a/internal/peerlinker/linker_test.go
+++ b/internal/peerlinker/linker_test.go
@@ -28,6 +28,11 @@
 }
 
 func newTestPeer(t *testing.T, name identifier.VMID, seeds ...string) *testPeer {
+	t.Helper()
+	return newForgetfulPeer(t, name, 0, seeds...)
+}
+
+func newForgetfulPeer(t *testing.T, name identifier.VMID, forgetAfter time.Duration, seeds ...string) *testPeer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,6 +52,8 @@
 		Handle: func(e Event) { p.events <- e },
 		Logger: log.NewNopLogger(),
 		Dial:   p.dial,
+
+		ForgetAfter: forgetAfter,
 	})
 	server := &http.Server{Handler: p.linker.Handler(), ReadHeaderTimeout: time.Second}
 	var served sync.WaitGroup
@@ -227,3 +234,29 @@
 		}
 	})
 }
+
+// TestForgottenLinkComesBack holds that an address that was given up on is
+// dialed again once its peer is heard.
+func TestForgottenLinkComesBack(t *testing.T) {
+	a := newForgetfulPeer(t, "a", time.Nanosecond)
+	b := newTestPeer(t, "b", a.self.Address)
+	a.awaitUp(b)
+	b.awaitUp(a)
+	a.setCut(true)
+	a.awaitDown(b)
+	for a.keeps(b) {
+		time.Sleep(time.Millisecond)
+	}
+	a.setCut(false)
+	if !b.linker.Send(a.self.Member, peermessenger.ReportQuery{Number: 1}) {
+		t.Fatal("the other direction is lost as well")
+	}
+	a.awaitUp(b)
+}
+
+// keeps reports whether the peer keeps a link to another one's address.
+func (p *testPeer) keeps(other *testPeer) bool {
+	p.linker.mu.Lock()
+	defer p.linker.mu.Unlock()
+	return p.linker.links[other.self.Address] != nil
+}
--- a/internal/peerlinker/options.go
+++ b/internal/peerlinker/options.go
@@ -11,13 +11,16 @@
 
 // Options configure a Linker.
 type Options struct {
-	Self    Peer
-	Seeds   []string // addresses of some peers
-	Handle  func(Event)
-	Logger  log.Logger
-	TLS     *tls.Config                                                 // nil: plain connections
-	Dial    func(ctx context.Context, address string) (net.Conn, error) // nil: TCP
-	Allowed func(peer Peer) bool                                        // nil: every peer may connect
+	Self   Peer
+	Seeds  []string // addresses of some peers
+	Handle func(Event)
+	Logger log.Logger
+	TLS    *tls.Config                                                 // nil: plain connections
+	Dial   func(ctx context.Context, address string) (net.Conn, error) // nil: TCP
+	// ForgetAfter is how long an address is dialed that never answers; 0 takes
+	// DefaultForgetAfter.
+	ForgetAfter time.Duration
+	Allowed     func(peer Peer) bool // nil: every peer may connect
 }
 
 const (
@@ -35,6 +38,7 @@
 	pingInterval   = 500 * time.Millisecond
 	pingTimeout    = time.Second
 	tableInterval  = 2 * time.Second
-	// forgetAfter is how long an address is dialed that never answers.
-	forgetAfter = 30 * time.Second
 )
+
+// DefaultForgetAfter is how long an address is dialed that never answers.
+const DefaultForgetAfter = 30 * time.Second
