--- /dev/null
+++ b/cmd/peppertrackd/internal/cmd/script_test.go
@@ -0,0 +1,20 @@
+package cmd
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain makes the command available to the scripts.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"peppertrackd": func() { os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the scripts in testdata.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/scripts"})
+}
