--- a/internal/settingsloader/defaults.go
+++ b/internal/settingsloader/defaults.go
@@ -5,6 +5,7 @@
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
+		Peers: []string{},
 		Listen: Listen{
 			Callers:   "127.0.0.1:7101",
 			Operators: "127.0.0.1:7102",
