refactor(declarer): drop causes that nothing gives

Cause: two causes of endings were defined and never told. Change: shutDown and submissionExpired are gone. Conclusion: the list of causes is what callers can meet.

--- a/internal/burnreporter/observation.go
+++ b/internal/burnreporter/observation.go
@@ -66,7 +66,7 @@
 
 func callersDoing(cause declarer.RefusalCause) bool {
 	switch cause {
-	case declarer.BadRequest, declarer.UnknownProfile, declarer.RetiredProfile, declarer.TooLarge, declarer.DoesNotFit, declarer.SubmissionExpired:
+	case declarer.BadRequest, declarer.UnknownProfile, declarer.RetiredProfile, declarer.TooLarge, declarer.DoesNotFit:
 		return true
 	default:
 		return false
--- a/internal/declarer/answer.go
+++ b/internal/declarer/answer.go
@@ -59,7 +59,6 @@
 	Cancelled        FailureCause = "cancelled"
 	BackendLost      FailureCause = "backendLost"
 	RunnerLost       FailureCause = "runnerLost" // the entry VM that ran the job is gone
-	ShutDown         FailureCause = "shutDown"
 )
 
 // RefusalCause says why a request was refused with nothing run.
@@ -67,17 +66,16 @@
 
 // The refusal causes.
 const (
-	BadRequest        RefusalCause = "badRequest"
-	UnknownProfile    RefusalCause = "unknownProfile"
-	RetiredProfile    RefusalCause = "retiredProfile"
-	TooLarge          RefusalCause = "tooLarge" // more tasks than the profile allows
-	DoesNotFit        RefusalCause = "doesNotFit"
-	QueueFull         RefusalCause = "queueFull"
-	OverQuota         RefusalCause = "overQuota"
-	DeadlineTooShort  RefusalCause = "deadlineTooShort"
-	NoCapacity        RefusalCause = "noCapacity"
-	ShuttingDown      RefusalCause = "shuttingDown"
-	SubmissionExpired RefusalCause = "submissionExpired"
+	BadRequest       RefusalCause = "badRequest"
+	UnknownProfile   RefusalCause = "unknownProfile"
+	RetiredProfile   RefusalCause = "retiredProfile"
+	TooLarge         RefusalCause = "tooLarge" // more tasks than the profile allows
+	DoesNotFit       RefusalCause = "doesNotFit"
+	QueueFull        RefusalCause = "queueFull"
+	OverQuota        RefusalCause = "overQuota"
+	DeadlineTooShort RefusalCause = "deadlineTooShort"
+	NoCapacity       RefusalCause = "noCapacity"
+	ShuttingDown     RefusalCause = "shuttingDown"
 )
 
 // UnverifiableCause says why it can't be told whether an earlier attempt started.
