fix(dispatcher): count a job whose home can't be reached

Cause: jobs that an entry VM gave up on for others were in no counter and used up no error budget, although their callers got 'unverifiable' (found by hand). Change: they are counted and observed where the caller is answered. Conclusion: the burn report shows partitions and lost VMs as callers see them.

--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -15,6 +15,7 @@
 	requester requester
 	to        identifier.Member
 	message   peermessenger.Message // without its number
+	since     time.Time
 	attempts  int
 	sent      bool      // at least once
 	resendAt  time.Time // zero: it was sent and the peer is up
@@ -29,7 +30,7 @@
 	}
 	m.opts.Counters.JobsForwarded.Add(1)
 	m.number++
-	f := &forward{requester: r, to: to, message: message, until: now.Add(m.forwardWait(message))}
+	f := &forward{requester: r, to: to, message: message, since: now, until: now.Add(m.forwardWait(message))}
 	m.forwards[m.number] = f
 	m.sendForward(now, m.number, f)
 }
@@ -105,19 +106,27 @@
 		f := m.forwards[number]
 		switch {
 		case now.After(f.until) && !m.opts.defects.dropForwards:
-			delete(m.forwards, number)
-			m.replyEnding(f.requester, homeUnreachable("the home of the submission did not answer in time"))
+			m.giveUp(now, number, f, "the home of the submission did not answer in time")
 		case !f.resendAt.IsZero() && !now.Before(f.resendAt):
 			m.resend(now, number, f)
 		}
 	}
 }
 
+// giveUp answers a request whose home can't be asked.
+func (m *Machine) giveUp(now time.Time, number peermessenger.RequestNumber, f *forward, detail string) {
+	delete(m.forwards, number)
+	ending := homeUnreachable(detail)
+	if submit, ok := f.message.(peermessenger.SubmitJob); ok {
+		m.observeUnanswered(submit.Job, now.Sub(f.since), ending)
+	}
+	m.replyEnding(f.requester, ending)
+}
+
 // resend sends a request on its way again, which may lead to another home.
 func (m *Machine) resend(now time.Time, number peermessenger.RequestNumber, f *forward) {
 	if f.attempts >= maxForwardAttempts {
-		delete(m.forwards, number)
-		m.replyEnding(f.requester, homeUnreachable("the home of the submission can't be reached"))
+		m.giveUp(now, number, f, "the home of the submission can't be reached")
 		return
 	}
 	id, createdAt := subject(f.message)
--- a/internal/dispatcher/forward_test.go
+++ b/internal/dispatcher/forward_test.go
@@ -52,3 +52,19 @@
 	t.Fatalf("no job was sent: %v", effects)
 	return Send{}
 }
+
+// TestUnreachableHomeIsObserved holds that a job whose home can't be reached
+// uses up the error budget of its profile.
+func TestUnreachableHomeIsObserved(t *testing.T) {
+	p := profileparser.Default()
+	p.Name = "p"
+	m, now := checkMachine(p)
+	m.Step(now, PeerDown{Member: identifier.Member{VM: "other", Incarnation: 1}})
+	job := declarer.Job{Submission: "b.019b76da-a800-7000-8000-000000000001", Team: "t", Profile: "p", Tasks: make([]declarer.Task, 1)}
+	for _, effect := range m.Step(now, SubmitAsked{Request: 1, Job: job, Wait: true}) {
+		if o, ok := effect.(JobObserved); ok && o.Objective == p.Objective && m.opts.Counters.JobsUnverifiable.Load() == 1 {
+			return
+		}
+	}
+	t.Error("the job was not observed")
+}
--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -167,6 +167,19 @@
 	})
 }
 
+// observeUnanswered reports a job of which this entry VM can't tell, or that it
+// refuses, without having run it.
+func (m *Machine) observeUnanswered(job declarer.Job, response time.Duration, ending declarer.Ending) {
+	m.count(ending)
+	m.emit(JobObserved{
+		Team:      job.Team,
+		Profile:   job.Profile,
+		Objective: m.profiles[job.Profile].Objective,
+		Ending:    ending,
+		Response:  response,
+	})
+}
+
 // stopRunning asks for a stop of the job's running tasks at the next tick.
 func (m *Machine) stopRunning(j *runningJob) {
 	for i, state := range j.states {
--- a/internal/dispatcher/submit.go
+++ b/internal/dispatcher/submit.go
@@ -19,6 +19,7 @@
 	}
 	home, denial := m.home(job.Submission, job.CreatedAt)
 	if denial != nil {
+		m.observeUnanswered(job, 0, denial)
 		m.replyEnding(r, denial)
 		return
 	}
