perf(dispatcher): split only a quota that can bind

Cause: since quotas are split between entry VMs, a team's job on one VM waits for that VM's share, also where the quota is as large as all slots together. Change: a quota that is not below the slots of all listed backend servers is no bound; the slots are one. Ruled out: the machine (both on an idle one, at a load of 1 to 8).

--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -38,7 +38,9 @@
 	waits     []identifier.SubmissionID                     // jobs with a waiter whose wait is bounded
 	stops     map[identifier.BackendID][]identifier.TaskRef // to be sent at the next tick
 	addresses map[identifier.BackendID]string
-	batch     int // tasks taken from the queue at one time
+
+	listedSlots identifier.Slots // of all listed backend servers, whether they can be reached or not
+	batch       int              // tasks taken from the queue at one time
 
 	peers    map[identifier.Member]identifier.FailureDomain // linked
 	lost     map[identifier.Member]time.Time                // not linked any more, not known to have ended; since when
--- a/internal/dispatcher/submit.go
+++ b/internal/dispatcher/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
+	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/limiter"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
@@ -88,7 +89,7 @@
 		Profile:    j.job.Profile,
 		Weight:     float64(j.profile.Weight),
 		Priority:   j.profile.Priority,
-		Quota:      j.profile.Quota(j.job.Team),
+		Quota:      m.quota(j),
 		QueueBound: j.profile.QueueBound,
 
 		RetryFraction: j.profile.RetryBudget,
@@ -97,6 +98,17 @@
 	}
 }
 
+// quota returns the bound on the team's running tasks; 0 when the quota is not
+// below the slots of all listed backend servers, which bound them anyhow. So a
+// quota that can't bind is not split between entry VMs.
+func (m *Machine) quota(j *runningJob) identifier.Slots {
+	quota := j.profile.Quota(j.job.Team)
+	if quota >= m.listedSlots {
+		return 0
+	}
+	return quota
+}
+
 // releaseAdmitted answers the requesters that wait for the admission alone.
 func (m *Machine) releaseAdmitted(j *runningJob) {
 	kept := j.waiters[:0]
