fix(runner): be ready only once a backend server is known

Cause: readiness came before the first list of VMs with a backend server, so that the balancer's first requests could be refused as noCapacity; a script that checks goodput failed once for it on a busy machine (2 of 39 jobs refused). Change: readiness waits for a list that names a backend server. Conclusion: what a ready VM is sent, it can place.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,9 +57,11 @@
 	reachable atomic.Bool // the platform answered the last call
 	joined    atomic.Bool // a roster holds this process
 	draining  atomic.Bool
-	drained   chan struct{}
-	failed    <-chan struct{}
-	listings  enroller.Revision // readings of the list of VMs; owned by watchVMs
+
+	knowsBackends atomic.Bool // a list of VMs with a backend server was read
+	drained       chan struct{}
+	failed        <-chan struct{}
+	listings      enroller.Revision // readings of the list of VMs; owned by watchVMs
 }
 
 // Start starts a Runner. It serves until Close or Shutdown.
--- a/internal/runner/servers.go
+++ b/internal/runner/servers.go
@@ -60,9 +60,10 @@
 }
 
 // Ready reports whether new requests should be sent here: a roster holds this
-// process, it knows which profiles are in force, and it does not shut down.
+// process, it knows which profiles are in force and a backend server, and it does
+// not shut down.
 func (r *Runner) Ready() bool {
-	return r.joined.Load() && !r.draining.Load() && r.knowsProfiles()
+	return r.joined.Load() && !r.draining.Load() && r.knowsProfiles() && r.knowsBackends.Load()
 }
 
 func (r *Runner) authenticate(request *http.Request) (identifier.Team, error) {
--- a/internal/runner/vmlist.go
+++ b/internal/runner/vmlist.go
@@ -36,7 +36,11 @@
 	if err != nil {
 		return
 	}
-	r.dispatchRing.put(dispatcher.BackendsListed{Backends: backendsOf(vms)})
+	backends := backendsOf(vms)
+	r.dispatchRing.put(dispatcher.BackendsListed{Backends: backends})
+	if len(backends) > 0 {
+		r.knowsBackends.Store(true)
+	}
 	r.listings++
 	r.rosterRing.put(enroller.VMListRead{Revision: r.listings, VMs: entryVMsOf(vms)})
 }
