fix(runner,settingsloader): take the incarnation once the peers' address is bound

Cause: the incarnation was taken before the address was bound, so that a process that failed to start could look later than the one still running; a peers' address of 0.0.0.0 was told to peers as it is. Both found by reading. Conclusion: a later incarnation proves that the earlier process has ended.

--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -21,11 +21,13 @@
 
 // Machine holds the state of one entry VM's decisions.
 type Machine struct {
-	opts      Options
-	placer    *placer.Placer
-	limiter   *limiter.Limiter
-	estimator *estimator.Estimator
-	effects   []Effect
+	opts        Options
+	claimer     *claimer.Claimer
+	placer      *placer.Placer
+	limiter     *limiter.Limiter
+	estimator   *estimator.Estimator
+	quarantiner *quarantiner.Quarantiner
+	effects     []Effect
 
 	profiles       map[identifier.ProfileName]profileparser.Profile
 	storeReachable bool
@@ -37,18 +39,15 @@
 	deadlines deadlineHeap
 	waits     []identifier.SubmissionID                     // jobs with a waiter whose wait is bounded
 	stops     map[identifier.BackendID][]identifier.TaskRef // to be sent at the next tick
-	addresses map[identifier.BackendID]string
+	batch     int                                           // tasks taken from the queue at one time
 
+	addresses   map[identifier.BackendID]string
 	listedSlots identifier.Slots // of all listed backend servers, whether they can be reached or not
-	batch       int              // tasks taken from the queue at one time
 
 	peers    map[identifier.Member]identifier.FailureDomain // linked
 	lost     map[identifier.Member]time.Time                // not linked any more, not known to have ended; since when
 	forwards map[peermessenger.RequestNumber]*forward
 	number   peermessenger.RequestNumber
-	claimer  *claimer.Claimer
-
-	quarantiner *quarantiner.Quarantiner
 }
 
 // New returns a Machine without backend servers, profiles and peers.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -67,13 +66,9 @@
 // Start starts a Runner. It serves until Close or Shutdown.
 func Start(opts Options) (r *Runner, err error) {
 	defer func() { err = errors.Wrapf(err, "starting entry VM %s", opts.Settings.VM) }()
-	if opts.Incarnation == 0 {
-		opts.Incarnation = identifier.Incarnation(time.Now().UnixNano())
-	}
 	r = &Runner{
 		opts:    opts,
 		burn:    burnreporter.NewRecorder(),
-		self:    identifier.Member{VM: opts.Settings.VM, Incarnation: opts.Incarnation},
 		drained: make(chan struct{}),
 	}
 	if err := r.openPlatform(); err != nil {
@@ -83,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.self = identifier.Member{VM: opts.Settings.VM, Incarnation: opts.incarnation()}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.group, ctx = errgroup.WithContext(ctx)
--- a/internal/settingsloader/check.go
+++ b/internal/settingsloader/check.go
@@ -76,6 +76,9 @@
 			return err
 		}
 	}
+	if peers, err := netip.ParseAddrPort(s.Listen.Peers); err == nil && peers.Addr().IsUnspecified() {
+		return l.fail("listen.peers", fmt.Sprintf("%q is told to peers and has to be an address of this VM", s.Listen.Peers))
+	}
 	return nil
 }
 
--- a/internal/settingsloader/load_test.go
+++ b/internal/settingsloader/load_test.go
@@ -39,6 +39,10 @@
 			Sources{File: []byte(goodFile + "peers: [example.org:80]\n")},
 			FieldError{Source: "f", Line: 4, Field: "peers"},
 		},
+		"an address that peers can't use": {
+			Sources{File: []byte(goodFile + "listen: {peers: \"0.0.0.0:7103\"}\n")},
+			FieldError{Source: "f", Line: 4, Field: "listen.peers"},
+		},
 		"a flag": {
 			Sources{File: []byte(goodFile), Flags: []string{"callers.maxTasks=many"}},
 			FieldError{Source: "flag", Field: "callers.maxTasks"},
