--- a/docs/capacity/measure.sh
+++ b/docs/capacity/measure.sh
@@ -10,6 +10,7 @@
 	go test -run xxx -bench 'Backend|Place|Peer' ./internal/placer
 	go test -run xxx -bench 'Claim|Ending|Record|Takeover' ./internal/claimer
 	go test -run xxx -bench Spread -benchtime 300x ./internal/profilekeeper
+	go test -run xxx -bench Book -benchtime 50x ./internal/profilekeeper
 	go test -run xxx -bench IdleLinks -benchtime 1x ./internal/peerlinker
 	go test -run xxx -bench Start -cpu 2 ./internal/backendcaller
 } | grep -E '^(Benchmark|goos|goarch|cpu|pkg)' >"$out.new"
--- a/internal/capacityplanner/figures.go
+++ b/internal/capacityplanner/figures.go
@@ -83,10 +83,14 @@
 // Slope returns by how much a total grows with each item, by least squares over
 // the sub-benchmarks named prefix=N, whose figure is the total divided by N.
 func (f Figures) Slope(benchmark, prefix, unit string) (slope float64, sizes int, err error) {
+	return f.slope(slopeSpec{benchmark: benchmark, prefix: prefix, unit: unit})
+}
+
+func (f Figures) slope(s slopeSpec) (slope float64, sizes int, err error) {
 	var xs, ys []float64
 	for _, name := range slices.Sorted(maps.Keys(f)) {
 		units := f[name]
-		text, ok := strings.CutPrefix(name, benchmark+"/"+prefix+"=")
+		text, ok := strings.CutPrefix(name, s.benchmark+"/"+s.prefix+"=")
 		if !ok {
 			continue
 		}
@@ -94,13 +98,18 @@
 		if err != nil {
 			return 0, 0, errors.Wrapf(err, "%s", name)
 		}
-		if perItem, ok := units[unit]; ok {
-			xs = append(xs, n)
-			ys = append(ys, n*perItem)
+		figure, ok := units[s.unit]
+		if !ok {
+			continue
+		}
+		if !s.total {
+			figure *= n
 		}
+		xs = append(xs, n)
+		ys = append(ys, figure)
 	}
 	if len(xs) < minSlopeSizes {
-		return 0, len(xs), &MissingFigureError{Benchmark: benchmark + "/" + prefix + "=… at four sizes", Unit: unit}
+		return 0, len(xs), &MissingFigureError{Benchmark: s.benchmark + "/" + s.prefix + "=… at four sizes", Unit: s.unit}
 	}
 	return leastSquares(xs, ys), len(xs), nil
 }
--- a/internal/capacityplanner/inputs.go
+++ b/internal/capacityplanner/inputs.go
@@ -34,7 +34,6 @@
 	values := []valueSpec{
 		{&in.startUs, "Start", "processor-us/op", 1},
 		{&in.taskUs, "Task/size=1700", "ns/op", 1e-3},
-		{&in.recordBytes, "Record", "heapBytes/record", 1},
 		{&in.claimMessages, "Claim", "messages/claim", 1},
 		{&in.claimBytes, "Claim", "wireBytes/claim", 1},
 		{&in.claimUs, "Claim", "ns/op", 1e-3},
@@ -59,6 +58,7 @@
 		{&in.queuedBytes, "Queued", "size", "bytes/item"},
 		{&in.runningBytes, "RunningTask", "size", "bytes/item"},
 		{&in.teamBytes, "Team", "size", "bytes/item"},
+		{&in.recordBytes, "Record", "size", "heapBytes/record"},
 		{&in.linkBytes, "IdleLinks", "size", "bytes/item"},
 		{&in.linkUs, "IdleLinks", "size", "cpu-us/s/item"},
 		{&in.resentPerRecord, "Takeover", "records", "resent/record"},
--- a/internal/claimer/bench_test.go
+++ b/internal/claimer/bench_test.go
@@ -148,28 +148,35 @@
 // BenchmarkRecord measures the memory of a kept record without an ending, as the
 // witness has it from the wire.
 func BenchmarkRecord(b *testing.B) {
-	const records = 100_000
-	for b.Loop() {
-		t := newRecordTable(DefaultMaxEndings)
-		before := heap()
-		for i := range records {
-			data, err := peermessenger.Encode(peermessenger.RecordClaim{Epoch: 1, Record: peermessenger.ClaimRecord{
-				Submission: benchID(i), Team: "desk", Epoch: 1, Runner: member("vm0"), Serial: 1, CreatedAt: peermessenger.UnixMillis(start.UnixMilli()),
-			}})
-			if err != nil {
-				b.Fatal(err)
-			}
-			m, err := peermessenger.Decode(data)
-			if err != nil {
-				b.Fatal(err)
+	for _, records := range []int{10_000, 30_000, 100_000, 300_000} {
+		b.Run(fmt.Sprint("size=", records), func(b *testing.B) {
+			for b.Loop() {
+				measureRecords(b, records)
 			}
-			r := m.(peermessenger.RecordClaim).Record
-			t.put(&r)
+		})
+	}
+}
+
+func measureRecords(b *testing.B, records int) {
+	t := newRecordTable(DefaultMaxEndings)
+	before := heap()
+	for i := range records {
+		data, err := peermessenger.Encode(peermessenger.RecordClaim{Epoch: 1, Record: peermessenger.ClaimRecord{
+			Submission: benchID(i), Team: "desk", Epoch: 1, Runner: member("vm0"), Serial: 1, CreatedAt: peermessenger.UnixMillis(start.UnixMilli()),
+		}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		m, err := peermessenger.Decode(data)
+		if err != nil {
+			b.Fatal(err)
 		}
-		b.ReportMetric(float64(heap()-before)/records, "heapBytes/record")
-		b.ReportMetric(float64(t.bytes)/records, "estimatedBytes/record")
-		runtime.KeepAlive(&t)
+		r := m.(peermessenger.RecordClaim).Record
+		t.put(&r)
 	}
+	b.ReportMetric(float64(heap()-before)/float64(records), "heapBytes/record")
+	b.ReportMetric(float64(t.bytes)/float64(records), "estimatedBytes/record")
+	runtime.KeepAlive(&t)
 }
 
 func heap() uint64 {
