feat(repeater,jobserver,platform): run repeatable jobs on the users' platform

Ruled out: starts by every VM with shared leases (an abandoned run is kept alive by the others' lease extensions); one scheduler a failure domain (a third of the capacity is gone at its pause).

Before: nothing ran on the platform.

--- a/cmd/peppertrackd/internal/cmd/rootcmd.go
+++ b/cmd/peppertrackd/internal/cmd/rootcmd.go
@@ -54,6 +54,7 @@
 			return run(f, cmd.OutOrStdout())
 		},
 	}
+	cmd.AddCommand(newPlatformCmd())
 	cmd.Flags().StringVar(&f.config, "config", "", "file of settings in YAML")
 	cmd.Flags().StringArrayVar(&f.set, "set", nil, "one setting, as path.to.key=value; may be repeated")
 	return cmd
--- /dev/null
+++ b/internal/jobserver/loop.go
@@ -0,0 +1,99 @@
+package jobserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/repeater"
+)
+
+// run is the goroutine of the state machine.
+func (s *Server) run() {
+	m := repeater.New(time.Now(), repeater.Options{
+		Self: s.opts.Self, Domain: s.opts.Domain, Weight: s.opts.Weight, Bounds: s.opts.Bounds,
+	})
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	pauses := newPauseDetector()
+	for {
+		var e repeater.Event
+		select {
+		case <-s.ctx.Done():
+			return
+		case e = <-s.events:
+		case <-ticker.C:
+			e = repeater.Ticked{}
+		}
+		if gap := pauses.gap(); gap > pauseBound {
+			s.step(m, repeater.Woken{Gap: gap})
+		}
+		s.step(m, e)
+	}
+}
+
+// step hands an event to the state machine and carries out its effects.
+func (s *Server) step(m *repeater.Machine, e repeater.Event) {
+	for _, effect := range m.Step(time.Now(), e) {
+		s.execute(effect)
+	}
+	if t := m.Routes(); t != s.routes.Load() {
+		s.routes.Store(t)
+	}
+	if _, ok := e.(repeater.Ticked); ok {
+		s.ready.Store(m.Ready())
+		c := m.Counters()
+		s.counters.Store(&c)
+	}
+}
+
+func (s *Server) execute(e repeater.Effect) {
+	switch e := e.(type) {
+	case repeater.Reply:
+		s.reply(e)
+	case repeater.SendMessage:
+		s.linker.Send(e.To, e.Message) // what a lost link loses is repeated when it is back
+	case repeater.StartRun:
+		s.group.Go(func() error { s.startRun(e); return nil })
+	case repeater.StopRun:
+		s.group.Go(func() error { s.stopRun(e); return nil })
+	case repeater.Look:
+		s.group.Go(func() error { s.look(e); return nil })
+	case repeater.Record:
+		_ = s.opts.Logger.Log(append([]any{"level", "info", "decision", e.Decision}, e.Fields...)...)
+	case repeater.Drained:
+		s.ready.Store(false)
+		close(s.drained)
+	}
+}
+
+func (s *Server) reply(r repeater.Reply) {
+	s.mu.Lock()
+	answer := s.requests[r.Request]
+	s.mu.Unlock()
+	if answer != nil {
+		answer <- r.Outcome // each request is answered once, and the channel holds one
+	}
+}
+
+func (s *Server) startRun(o repeater.StartRun) {
+	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
+	defer cancel()
+	started := time.Now()
+	result, clock := s.opts.Orderer.Start(ctx, o)
+	s.meters.start(result, time.Since(started))
+	s.post(repeater.StartAnswered{Order: o.Order, Result: result, Clock: clock})
+}
+
+func (s *Server) stopRun(o repeater.StopRun) {
+	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
+	defer cancel()
+	result, clock := s.opts.Orderer.Stop(ctx, o)
+	s.post(repeater.StopAnswered{Order: o.Order, Result: result, Clock: clock})
+}
+
+func (s *Server) look(o repeater.Look) {
+	ctx, cancel := context.WithTimeout(s.ctx, o.Wait+lookSlack)
+	defer cancel()
+	result, clock := s.opts.Orderer.Look(ctx, o)
+	s.post(repeater.LookAnswered{Order: o.Order, Result: result, Clock: clock})
+}
--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -58,6 +58,15 @@
 	603: reflect.TypeFor[ProfileBook](),
 	700: reflect.TypeFor[ReportQuery](),
 	701: reflect.TypeFor[ReportReply](),
+
+	800: reflect.TypeFor[RunTask](),
+	801: reflect.TypeFor[TaskPlaced](),
+	802: reflect.TypeFor[TaskEnded](),
+	803: reflect.TypeFor[CancelRuns](),
+	804: reflect.TypeFor[ClaimRuns](),
+	805: reflect.TypeFor[ServerReleased](),
+	806: reflect.TypeFor[LoadReport](),
+	807: reflect.TypeFor[DirectoryCopy](),
 }
 
 var (
--- /dev/null
+++ b/internal/repeater/event.go
@@ -0,0 +1,94 @@
+package repeater
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+	"github.com/peppertrack/peppertrack/internal/router"
+)
+
+// RequestID names one open request of a caller at this VM.
+type RequestID uint64
+
+// Event is what a Machine reacts to.
+type Event interface{ isEvent() }
+
+// JobSubmitted brings a caller's request to run a job.
+type JobSubmitted struct {
+	Request RequestID
+	Job     Job
+}
+
+// RequestAbandoned reports that a caller has left before its answer.
+type RequestAbandoned struct{ Request RequestID }
+
+// PeerLinked reports that messages to a peer can be sent.
+type PeerLinked struct {
+	Peer   identifier.Member
+	Domain identifier.FailureDomain
+}
+
+// PeerUnlinked reports that messages to a peer may have been lost.
+type PeerUnlinked struct{ Peer identifier.Member }
+
+// PeerMessage brings a message of a peer.
+type PeerMessage struct {
+	From    identifier.Member
+	Domain  identifier.FailureDomain
+	Message peermessenger.Message
+}
+
+// RoutesChanged brings a table of routes. An older one than that in force is
+// ignored.
+type RoutesChanged struct{ Table *router.Table }
+
+// ServersChanged brings the list of backend servers.
+type ServersChanged struct {
+	Revision uint64
+	Servers  []Server
+}
+
+// StartAnswered brings the outcome of StartRun.
+type StartAnswered struct {
+	Order  OrderID
+	Result StartResult
+	Clock  ServerClock
+}
+
+// StopAnswered brings the outcome of StopRun.
+type StopAnswered struct {
+	Order  OrderID
+	Result StopResult
+	Clock  ServerClock
+}
+
+// LookAnswered brings the outcome of Look.
+type LookAnswered struct {
+	Order  OrderID
+	Result LookResult
+	Clock  ServerClock
+}
+
+// Ticked lets time pass. It comes at least every 50 ms.
+type Ticked struct{}
+
+// Woken reports that this VM was paused.
+type Woken struct{ Gap time.Duration }
+
+// DrainStarted asks to hand over all servers and to end when no job is open.
+type DrainStarted struct{}
+
+func (JobSubmitted) isEvent()     {}
+func (RequestAbandoned) isEvent() {}
+func (PeerLinked) isEvent()       {}
+func (PeerUnlinked) isEvent()     {}
+func (PeerMessage) isEvent()      {}
+func (RoutesChanged) isEvent()    {}
+func (ServersChanged) isEvent()   {}
+func (StartAnswered) isEvent()    {}
+func (StopAnswered) isEvent()     {}
+func (LookAnswered) isEvent()     {}
+func (Ticked) isEvent()           {}
+func (Woken) isEvent()            {}
+func (DrainStarted) isEvent()     {}
--- /dev/null
+++ b/internal/repeater/look.go
@@ -0,0 +1,214 @@
+package repeater
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// clearingLookWait is how long a look waits while a server is taken over.
+const clearingLookWait = 60 * time.Millisecond
+
+// idleLook is how long an idle server isn't looked at. Its clock drifts by less
+// than orders may be off in this time.
+const idleLook = 6 * time.Second
+
+// look asks a server for its runs. It extends the lease of what runs there,
+// but for the first look of a new owner.
+func (m *Machine) look(o *ownedServer) {
+	m.counters.Looks++
+	id := m.newOrder(order{server: o.ID})
+	o.looking = id
+	l := Look{Order: id, Server: o.Server, Token: o.token, Observed: o.observed}
+	switch o.phase {
+	case phaseReady, phaseReleasing:
+		l.Wait = lookWait
+		l.Expires = o.serverNow(m.now) + ServerTime(leaseLength)
+	case phaseClaiming:
+		l.Wait = clearingLookWait
+		l.Expires = o.serverNow(m.now) + ServerTime(o.claimUntil.Sub(m.now)+2*clearingLookWait)
+	case phaseClearing:
+		l.Wait = clearingLookWait
+		l.Expires = o.serverNow(m.now) + ServerTime(2*clearingLookWait)
+	case phaseTaking:
+	}
+	if len(o.runs) == 0 || !o.clockKnown {
+		l.Wait = 0
+		l.Expires = 0
+	}
+	o.leaseEnd = max(o.leaseEnd, l.Expires)
+	m.emit(l)
+}
+
+func (m *Machine) lookAnswered(e LookAnswered) {
+	ord, o := m.takeOrder(e.Order)
+	if o == nil {
+		return
+	}
+	if o.looking == e.Order {
+		o.looking = 0
+	}
+	switch e.Result.Status {
+	case LookOK:
+		m.seeRuns(o, ord, e)
+	case LookFenced:
+		m.loseServer(o, "fenced")
+	case LookWrongServer:
+		m.resetServer(o, "another process answers")
+	case LookUnanswered:
+		m.lookFailed(o)
+	}
+}
+
+func (m *Machine) lookFailed(o *ownedServer) {
+	if o.silent == 0 {
+		m.record("serverSilent", "backend", o.ID, "runs", len(o.runs), "clockAge", m.now.Sub(o.clockAt))
+	}
+	o.silent++
+	o.nextLook = m.now
+	if o.silent > 1 {
+		o.nextLook = m.now.Add(retryUnreachable)
+	}
+	m.reportDirty = true
+}
+
+// seeRuns takes in what a server says of its runs.
+func (m *Machine) seeRuns(o *ownedServer, ord order, e LookAnswered) {
+	if o.silent > 0 {
+		m.record("serverAnswers", "backend", o.ID, "silent", o.silent)
+		m.reportDirty = true
+	}
+	o.silent = 0
+	if e.Clock.Generation != 0 && o.generation != 0 && e.Clock.Generation != o.generation {
+		m.resetServer(o, "it has restarted")
+		if m.owned[o.ID] != o {
+			return
+		}
+	}
+	o.noteClock(m.now, e.Clock)
+	if e.Clock.Generation != 0 {
+		o.generation = e.Clock.Generation
+	}
+	for _, end := range e.Result.Ended {
+		m.seeEnd(o, end)
+	}
+	active := make(map[identifier.RunRef]bool, len(e.Result.Active))
+	for _, a := range e.Result.Active {
+		active[a.Run] = true
+		m.seeActive(o, a)
+	}
+	m.seeAbsent(o, ord, active)
+	m.advancePhase(o)
+	if o.looking == 0 && len(o.runs) > 0 && m.owned[o.ID] == o {
+		m.look(o)
+	}
+}
+
+func (m *Machine) seeEnd(o *ownedServer, end EndedRun) {
+	if end.Number <= o.observed {
+		return
+	}
+	o.observed = end.Number
+	r := o.runs[end.Run]
+	if r == nil {
+		r = &run{ref: end.Run, startedAt: m.now}
+	}
+	switch end.Ending {
+	case EndDone:
+		o.trust()
+		m.endRun(o, r, peermessenger.RunDone, "")
+	case EndFailed:
+		m.suspect(o, "its run has failed")
+		m.endRun(o, r, peermessenger.RunFailed, "")
+	case EndStopped, EndLapsed, EndOther:
+		cause := r.stopCause
+		if cause == "" {
+			cause = "ended by its server"
+		}
+		m.endRun(o, r, peermessenger.RunStopped, cause)
+	}
+}
+
+func (m *Machine) seeActive(o *ownedServer, a RunState) {
+	r := o.runs[a.Run]
+	if r == nil {
+		if o.phase == phaseReady || o.phase == phaseReleasing {
+			m.record("strayRun", "job", a.Run.Task.Submission, "task", a.Run.Task.Index, "run", a.Run.Number, "backend", o.ID)
+		}
+		r = &run{ref: a.Run, state: runOrphan, since: m.now, startedAt: m.now, progressAt: m.now}
+		// What it takes is not known until a home claims it.
+		r.msg.Millicores, r.msg.Memory = o.Cores, o.Memory
+		o.runs[a.Run] = r
+		if o.phase == phaseReady || o.phase == phaseReleasing {
+			m.stop(o, r, "no home has asked for it")
+		}
+		return
+	}
+	if r.state == runStarting || r.state == runUnknown {
+		m.runStarted(o, r)
+	}
+	if a.Progress > r.progress {
+		r.progress, r.progressAt = a.Progress, m.now
+	}
+}
+
+// seeAbsent ends the runs that should be in a look's answer and are not.
+func (m *Machine) seeAbsent(o *ownedServer, ord order, active map[identifier.RunRef]bool) {
+	for _, r := range o.sortedRuns() {
+		if active[r.ref] {
+			continue
+		}
+		switch r.state {
+		case runRunning, runOrphan:
+			if r.startedAt.Before(ord.issued) {
+				m.endRun(o, r, peermessenger.RunStopped, "its server doesn't know it any more")
+			}
+		case runStopping:
+			if !r.stoppedAt.IsZero() && r.stoppedAt.Before(ord.issued) {
+				m.endRun(o, r, peermessenger.RunStopped, r.stopCause)
+			}
+		case runStarting, runUnknown:
+		}
+	}
+}
+
+// resetServer drops all runs of a server that has lost them.
+func (m *Machine) resetServer(o *ownedServer, cause string) {
+	m.record("serverReset", "backend", o.ID, "cause", cause, "runs", len(o.runs), "generation", o.generation)
+	for _, r := range o.sortedRuns() {
+		m.endRun(o, r, peermessenger.RunStopped, cause)
+	}
+	o.generation, o.observed, o.leaseEnd, o.clockKnown = 0, 0, 0, false
+	o.phase = phaseTaking
+	o.nextLook = m.now.Add(retryUnreachable)
+	m.reportDirty = true
+}
+
+// tickOwned looks, stops and gives up where it is time.
+func (m *Machine) tickOwned() {
+	for _, id := range m.ownedIDs() {
+		o := m.owned[id]
+		m.tickRuns(o)
+		m.advancePhase(o)
+		if m.owned[id] != o || o.looking != 0 || m.now.Before(o.nextLook) {
+			continue
+		}
+		idle := m.now.Sub(o.clockAt) > idleLook
+		if len(o.runs) > 0 || o.phase != phaseReady || o.silent > 0 || !o.clockKnown || idle {
+			m.look(o)
+		}
+	}
+}
+
+func (m *Machine) tickRuns(o *ownedServer) {
+	lapsed := o.silent > 0 && o.clockKnown && o.lapsed(m.now)
+	for _, r := range o.sortedRuns() {
+		switch {
+		case lapsed && r.state != runStarting:
+			m.endRun(o, r, peermessenger.RunStopped, "its lease has lapsed on a silent server")
+		case r.state == runStopping && r.stopOrder == 0 && r.stoppedAt.IsZero() && !m.now.Before(r.nextStop):
+			m.stop(o, r, r.stopCause)
+		}
+	}
+}
--- /dev/null
+++ b/internal/repeater/options.go
@@ -0,0 +1,100 @@
+package repeater
+
+import (
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// Options configure a Machine.
+type Options struct {
+	Self   identifier.Member
+	Domain identifier.FailureDomain
+	Weight int // share of the backend servers, in thousandths of a core of this VM
+	Bounds Bounds
+}
+
+// Bounds are the times that backend servers and callers keep to.
+type Bounds struct {
+	LongestLease time.Duration // a server shortens longer leases to this
+	StopTimeout  time.Duration // a stop takes at most this long
+	ResendDelay  time.Duration // a caller sends a job again at the earliest after this
+}
+
+const (
+	// silenceBound is how long a peer may be silent until its runs are stopped
+	// and its servers taken over: four load reports, and well under the time
+	// after which a caller sends a job again.
+	silenceBound = 400 * time.Millisecond
+	// reportInterval is the longest time between two load reports.
+	reportInterval = 100 * time.Millisecond
+	// reportSpacing is the shortest time between two load reports: the work that
+	// starts on one VM in this time is less than one of its servers holds.
+	reportSpacing = 30 * time.Millisecond
+	// peersPerInterval is the number of peers beyond which load reports are sent
+	// less often, so that their cost stays bounded on a small VM.
+	peersPerInterval = 12
+
+	// leaseLength is the lease that an order asks for. It is under the longest
+	// lease, so that runs of a lost owner end sooner, and over twice lookWait.
+	leaseLength = 850 * time.Millisecond
+	// lookWait is how long a look at a server waits for an end.
+	lookWait = 350 * time.Millisecond
+	// clockDrift is how much slower than real time a server's clock may be.
+	clockDrift = 0.02
+	// orderSlack covers the answer's way back when a lease's lapse is awaited.
+	orderSlack = 30 * time.Millisecond
+
+	// claimWindow is how long a new owner waits for homes to claim runs that it
+	// found on a server: a load report and a link's round trip between failure
+	// domains, twice.
+	claimWindow = 250 * time.Millisecond
+	// orphanBound is how long after an owner was last heard its unclaimed runs
+	// may still go on: the longest lease and its drift, or silence, takeover,
+	// claim window and stop together.
+	orphanBound = 1150 * time.Millisecond
+
+	// startupGrace is how long a fresh VM listens to its peers before it takes
+	// over servers that nobody seems to own.
+	startupGrace = 800 * time.Millisecond
+	// minorityDelay is how long a VM that has lost the majority of its peers
+	// waits before it takes over a server of a lost one.
+	minorityDelay = 2 * time.Second
+	// rebalanceDelay is how long the proposed owner of a server must stay the
+	// same until a live owner releases the server to it.
+	rebalanceDelay = time.Second
+	// yieldFor is the first pause after another VM's higher token, and
+	// longestYield bounds its doubling.
+	yieldFor     = 500 * time.Millisecond
+	longestYield = 8 * time.Second
+	// forgetPeerAfter is how long a silent peer counts towards the majority.
+	forgetPeerAfter = 30 * time.Second
+
+	// retryUnreachable is the pause before a server that gave no answer is
+	// looked at again.
+	retryUnreachable = 250 * time.Millisecond
+	// suspendFirst is the first pause after a server that failed what it
+	// started, and suspendLongest bounds its doubling.
+	suspendFirst   = 400 * time.Millisecond
+	suspendLongest = 6 * time.Second
+	// suspectFailures is the number of runs in a row that a server has to fail
+	// before it is suspended: one failure is usually the task's own fault.
+	suspectFailures = 2
+
+	// wakeQuarantine is how long requests are refused after this VM was paused:
+	// they may have waited in its socket and been sent elsewhere since.
+	wakeQuarantine = 300 * time.Millisecond
+
+	// networkAllowance is taken off a job's slack for messages and calls.
+	networkAllowance = 15 * time.Millisecond
+
+	// maxQueue bounds the tasks that wait at one owner.
+	maxQueue = 4096
+	// maxOpenJobs bounds the jobs of one home.
+	maxOpenJobs = 4096
+	// maxTasksPerJob bounds one job.
+	maxTasksPerJob = 2048
+	// endedMemory is how long an owner remembers how a run ended, for homes
+	// whose link was lost: longer than a link takes to come back or be given up.
+	endedMemory = 5 * time.Second
+)
--- /dev/null
+++ b/internal/repeater/outcome.go
@@ -0,0 +1,49 @@
+package repeater
+
+import "time"
+
+// Outcome is the final answer to a request.
+type Outcome interface{ isOutcome() }
+
+// Completed says that every task has ended well.
+type Completed struct{}
+
+// Failed says that a task has failed as often as its route allows, or can't run.
+type Failed struct{ Cause string }
+
+// Refused says that no task of the job has started by this request.
+type Refused struct {
+	Overloaded bool // there is no room now; else this VM can't serve the job at all
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Lost says that runs of the job were lost; none of them goes on by the time
+// that a caller sends the job again.
+type Lost struct{ Cause string }
+
+// TimedOut says that the job didn't end before the caller's deadline.
+type TimedOut struct{}
+
+func (Completed) isOutcome() {}
+func (Failed) isOutcome()    {}
+func (Refused) isOutcome()   {}
+func (Lost) isOutcome()      {}
+func (TimedOut) isOutcome()  {}
+
+// OutcomeName returns the name of an outcome in logs and metrics.
+func OutcomeName(o Outcome) string {
+	switch o.(type) {
+	case Completed:
+		return "completed"
+	case Failed:
+		return "failed"
+	case Refused:
+		return "refused"
+	case Lost:
+		return "lost"
+	case TimedOut:
+		return "timedOut"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/repeater/ownedserver.go
@@ -0,0 +1,138 @@
+package repeater
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// ownerPhase says how far a VM is with a server that it owns.
+type ownerPhase uint8
+
+const (
+	phaseTaking   ownerPhase = iota // the first look is not answered
+	phaseClaiming                   // homes may claim the runs that were found
+	phaseClearing                   // unclaimed runs are being stopped
+	phaseReady
+	phaseReleasing // nothing is started any more
+)
+
+// ownedServer is a backend server that this VM orders about.
+type ownedServer struct {
+	Server
+	token      identifier.FencingToken
+	phase      ownerPhase
+	claimUntil time.Time
+	claims     []heldClaim // that arrived before the first look
+	releaseTo  identifier.Member
+	listed     bool
+
+	clock      ServerTime // at clockAt
+	clockAt    time.Time
+	clockKnown bool
+	generation identifier.Generation
+	leaseEnd   ServerTime // the latest that was asked for
+	observed   uint64
+
+	runs     map[identifier.RunRef]*run
+	looking  OrderID // 0: no look is open
+	nextLook time.Time
+	silent   int // looks in a row without an answer
+
+	suspicion      int // failures in a row
+	suspendedUntil time.Time
+	suspendFor     time.Duration
+	fullUntil      time.Time // it had less room than expected
+}
+
+// heldClaim is a claim that waits for the first look.
+type heldClaim struct {
+	from identifier.Member
+	run  peermessenger.ClaimedRun
+}
+
+// runState says how far a run at an owned server is.
+type runState uint8
+
+const (
+	runStarting runState = iota // the order is not answered
+	runUnknown                  // the order got no answer
+	runRunning
+	runStopping
+	runOrphan // found at takeover, not claimed yet
+)
+
+// run is a run at an owned server.
+type run struct {
+	ref        identifier.RunRef
+	home       identifier.Member
+	msg        peermessenger.RunTask
+	state      runState
+	since      time.Time // it was ordered, or found
+	startedAt  time.Time
+	stopCause  string
+	stopOrder  OrderID   // open
+	stoppedAt  time.Time // the stop was accepted
+	nextStop   time.Time
+	progress   float64
+	progressAt time.Time
+}
+
+// usable reports whether the server takes work, now or when runs end.
+func (o *ownedServer) usable(now time.Time) bool {
+	return o.phase == phaseReady && o.listed && !o.Leaving && o.silent == 0 && !now.Before(o.suspendedUntil)
+}
+
+// startable reports whether a run may be started on the server now.
+func (o *ownedServer) startable(now time.Time) bool {
+	return o.usable(now) && !now.Before(o.fullUntil) && o.clockKnown
+}
+
+// free returns the room that no run takes. A run counts until its end is listed.
+func (o *ownedServer) free() (identifier.Millicores, identifier.Mebibytes) {
+	cores, memory := o.Cores, o.Memory
+	for _, r := range o.runs {
+		cores -= r.msg.Millicores
+		memory -= r.msg.Memory
+	}
+	return max(cores, 0), max(memory, 0)
+}
+
+// serverNow estimates the time on the server's clock.
+func (o *ownedServer) serverNow(now time.Time) ServerTime {
+	return o.clock + ServerTime(now.Sub(o.clockAt))
+}
+
+func (o *ownedServer) noteClock(now time.Time, c ServerClock) {
+	if c.Known {
+		o.clock, o.clockAt, o.clockKnown = c.Now, now, true
+	}
+}
+
+// lapsed reports whether every lease that was ever asked for is over, on the
+// slowest clock that the server may have.
+func (o *ownedServer) lapsed(now time.Time) bool {
+	left := time.Duration(o.leaseEnd - o.clock)
+	return now.Sub(o.clockAt) > time.Duration(float64(left)/(1-clockDrift))+orderSlack
+}
+
+func (o *ownedServer) sortedRuns() []*run {
+	return slices.SortedFunc(maps.Values(o.runs), func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.ref.Task.Submission, b.ref.Task.Submission),
+			cmp.Compare(a.ref.Task.Index, b.ref.Task.Index), cmp.Compare(a.ref.Number, b.ref.Number))
+	})
+}
+
+// ownedIDs returns the servers of this VM, in order.
+func (m *Machine) ownedIDs() []identifier.BackendID { return slices.Sorted(maps.Keys(m.owned)) }
+
+func (m *Machine) ownedRuns() (n int) {
+	for _, o := range m.owned {
+		n += len(o.runs)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/repeater/plan.go
@@ -0,0 +1,147 @@
+package repeater
+
+import (
+	"slices"
+
+	"github.com/peppertrack/peppertrack/internal/admitter"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/packer"
+)
+
+// target is where a task is sent.
+type target struct {
+	found   bool
+	owner   identifier.Member
+	backend identifier.BackendID // the server that seems to have room
+	fits    bool
+}
+
+// fleet is a home's view of the servers that may run a job.
+type fleet struct {
+	servers  []packer.Server
+	owners   []identifier.Member // of the same indexes
+	backlog  map[identifier.VMID]*backlog
+	capacity identifier.Millicores
+	ahead    int64
+}
+
+// backlog is the load of one owner.
+type backlog struct {
+	owner    identifier.Member
+	capacity identifier.Millicores
+	work     int64
+}
+
+// view collects the servers of a pool that take work, as far as is known here.
+func (m *Machine) view(j *openJob) *fleet {
+	f := &fleet{backlog: make(map[identifier.VMID]*backlog)}
+	for _, id := range m.ownedIDs() {
+		o := m.owned[id]
+		if o.Pool != j.Route.Pool || !o.usable(m.now) {
+			continue
+		}
+		free, mem := identifier.Millicores(0), identifier.Mebibytes(0)
+		if o.startable(m.now) && len(m.queue) == 0 {
+			free, mem = o.free()
+		}
+		f.add(m.opts.Self, o.Server, free, mem, false)
+	}
+	if b := f.backlog[m.opts.Self.VM]; b != nil {
+		b.work = sumUpTo(m.queuedWork(), j.Route.Priority)
+	}
+	for _, p := range m.sortedPeers() {
+		if !m.alive(p) || p.draining {
+			continue
+		}
+		for _, id := range m.serverIDs {
+			v, ok := p.view[id]
+			s := m.servers[id]
+			if !ok || !v.usable || s.Leaving || s.Pool != j.Route.Pool {
+				continue
+			}
+			f.add(p.member, s, v.free, v.freeMem, s.Domain != m.opts.Domain)
+		}
+		if b := f.backlog[p.member.VM]; b != nil {
+			b.work = sumUpTo(p.queued, j.Route.Priority) + p.extra
+		}
+	}
+	for _, b := range f.backlog {
+		f.ahead += b.work
+	}
+	return f
+}
+
+func sumUpTo(w [4]int64, priority int) (sum int64) {
+	for i := 0; i <= min(max(priority, 0), len(w)-1); i++ {
+		sum += w[i]
+	}
+	return sum
+}
+
+func (f *fleet) add(owner identifier.Member, s Server, free identifier.Millicores, mem identifier.Mebibytes, remote bool) {
+	f.servers = append(f.servers, packer.Server{ID: s.ID, Capacity: s.Cores, Free: free, FreeMem: mem, Remote: remote, Slowness: 1})
+	f.owners = append(f.owners, owner)
+	f.capacity += s.Cores
+	b := f.backlog[owner.VM]
+	if b == nil {
+		b = &backlog{owner: owner}
+		f.backlog[owner.VM] = b
+	}
+	b.capacity += s.Cores
+}
+
+// plan chooses a target for each of a job's tasks: a server with room, or else
+// the owner with the shortest queue for its capacity.
+func (m *Machine) plan(j *openJob, tasks []int) []target {
+	f := m.view(j)
+	demand := packer.Demand{Cores: j.Cores, Memory: j.Memory}
+	targets := make([]target, len(tasks))
+	for n, index := range tasks {
+		avoid := j.tasks[index].avoid
+		if i := packer.Pick(f.servers, demand, avoid); i >= 0 {
+			targets[n] = target{found: true, fits: true, owner: f.owners[i], backend: f.servers[i].ID}
+			f.servers[i].Free -= demand.Cores
+			f.servers[i].FreeMem -= demand.Memory
+			continue
+		}
+		targets[n] = f.shortestQueue(j, avoid)
+	}
+	j.planned = f
+	return targets
+}
+
+// shortestQueue adds a task to the owner that should start it first.
+func (f *fleet) shortestQueue(j *openJob, avoid []identifier.BackendID) target {
+	var best *backlog
+	for i, s := range f.servers {
+		if s.Capacity < j.Cores || slices.Contains(avoid, s.ID) {
+			continue
+		}
+		b := f.backlog[f.owners[i].VM]
+		if best == nil || b.perCapacity() < best.perCapacity() ||
+			(b.perCapacity() == best.perCapacity() && b.owner.VM < best.owner.VM) {
+			best = b
+		}
+	}
+	if best == nil {
+		return target{}
+	}
+	best.work += work(j.Cores, j.Estimate)
+	return target{found: true, owner: best.owner}
+}
+
+func (b *backlog) perCapacity() float64 { return float64(b.work) / float64(max(b.capacity, 1)) }
+
+// fleetFor sums up a plan for the decision on admission.
+func (m *Machine) fleetFor(j *openJob, plan []target) admitter.Fleet {
+	f := admitter.Fleet{Capacity: j.planned.capacity, Ahead: j.planned.ahead}
+	for _, t := range plan {
+		if !t.fits {
+			f.Unplaced += work(j.Cores, j.Estimate)
+		}
+		if !t.found {
+			f.Capacity = 0
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/internal/repeater/server.go
@@ -0,0 +1,16 @@
+package repeater
+
+import "github.com/peppertrack/peppertrack/internal/identifier"
+
+// Server is a backend server as the platform lists it.
+type Server struct {
+	ID         identifier.BackendID
+	Address    string
+	Pool       identifier.PoolID
+	Domain     identifier.FailureDomain
+	Cores      identifier.Millicores
+	Memory     identifier.Mebibytes
+	Kind       string // servers of one kind take alike long for the same work
+	Leaving    bool   // takes no new work
+	Generation identifier.Generation
+}
--- /dev/null
+++ b/internal/repeater/takeover.go
@@ -0,0 +1,380 @@
+package repeater
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/peppertrack/peppertrack/internal/assigner"
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// yield is a server that another VM has taken by a higher token.
+type yield struct {
+	until time.Time
+	pause time.Duration
+	boost uint64 // added to the next token's time, in milliseconds
+}
+
+// movedRun is a run on a server that this VM has given up.
+type movedRun struct {
+	backend identifier.BackendID
+	at      time.Time
+}
+
+// proposal is the VM that should own a server, and since when.
+type proposal struct {
+	owner identifier.VMID
+	since time.Time
+}
+
+// assignmentInput is what the proposals were made from.
+type assignmentInput struct {
+	stale bool
+	vms   []assigner.VM
+}
+
+// assign takes servers over and releases them, as the live VMs demand.
+func (m *Machine) assign() {
+	m.propose()
+	for _, id := range m.serverIDs {
+		o, proposed := m.owned[id], m.proposals[id]
+		switch {
+		case o == nil && proposed.owner == m.opts.Self.VM && !m.draining:
+			if m.mayTake(id) {
+				m.take(id, "proposed")
+			}
+		case o != nil && o.phase != phaseReleasing && proposed.owner != m.opts.Self.VM:
+			m.considerRelease(o, proposed)
+		}
+	}
+	for _, id := range m.ownedIDs() {
+		o := m.owned[id]
+		if !o.listed && len(o.runs) == 0 {
+			m.record("serverDropped", "backend", id, "cause", "unlisted")
+			delete(m.owned, id)
+			m.reportDirty = true
+		}
+	}
+}
+
+// propose computes who should own which server when the live VMs or the servers
+// have changed.
+func (m *Machine) propose() {
+	vms := make([]assigner.VM, 0, len(m.peers)+1)
+	if !m.draining {
+		vms = append(vms, assigner.VM{ID: m.opts.Self.VM, Domain: m.opts.Domain, Weight: m.opts.Weight})
+	}
+	for _, p := range m.sortedPeers() {
+		if m.alive(p) && !p.draining {
+			vms = append(vms, assigner.VM{ID: p.member.VM, Domain: p.domain, Weight: p.weight})
+		}
+	}
+	if !m.assignment.stale && equalVMs(vms, m.assignment.vms) {
+		return
+	}
+	m.assignment = assignmentInput{vms: vms}
+	for _, id := range m.serverIDs {
+		owner, _ := assigner.Owner(id, m.servers[id].Domain, vms)
+		if m.proposals[id].owner != owner {
+			m.proposals[id] = proposal{owner: owner, since: m.now}
+		}
+	}
+}
+
+func equalVMs(a, b []assigner.VM) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// mayTake reports whether this VM may take a server over now.
+func (m *Machine) mayTake(id identifier.BackendID) bool {
+	if m.now.Before(m.yields[id].until) || m.now.Sub(m.started) < startupGrace || m.now.Before(m.refuseUntil) {
+		return false
+	}
+	known, ok := m.owners[id]
+	if !ok || known.owner.VM == m.opts.Self.VM {
+		return true
+	}
+	p := m.peers[known.owner.VM]
+	if p == nil || p.member != known.owner {
+		return true
+	}
+	if m.alive(p) {
+		_, owns := p.view[id]
+		return !owns
+	}
+	return m.inMajority() || m.now.Sub(p.heard) > minorityDelay
+}
+
+// inMajority reports whether this VM hears at least half of the others.
+func (m *Machine) inMajority() bool {
+	alive, known := 1, 1
+	for _, p := range m.peers {
+		known++
+		if m.alive(p) {
+			alive++
+		}
+	}
+	return 2*alive > known
+}
+
+// take makes this VM the owner of a server, by a token that is higher than all
+// known ones.
+func (m *Machine) take(id identifier.BackendID, cause string) {
+	s, ok := m.servers[id]
+	if !ok || m.owned[id] != nil {
+		return
+	}
+	known := m.owners[id]
+	token := m.newToken(known.token, m.yields[id].boost)
+	m.owned[id] = &ownedServer{Server: s, token: token, listed: true, runs: make(map[identifier.RunRef]*run)}
+	m.owners[id] = ownership{owner: m.opts.Self, token: token}
+	m.counters.Takeovers++
+	m.reportDirty = true
+	m.record("serverTaken", "backend", id, "cause", cause, "token", token, "earlierOwner", known.owner, "earlierToken", known.token)
+	m.look(m.owned[id])
+	m.claimFrom(m.opts.Self, id)
+}
+
+const (
+	// vmBits is the part of a token that tells VMs apart; the rest is a time in
+	// milliseconds, and both fit the integers that JSON carries exactly.
+	vmBits = 10
+	vmMask = 1<<vmBits - 1
+)
+
+func (m *Machine) newToken(known identifier.FencingToken, boost uint64) identifier.FencingToken {
+	at := max(uint64(m.now.UnixMilli())+boost, uint64(known)>>vmBits+1)
+	return identifier.FencingToken(at<<vmBits | xxhash.Sum64String(string(m.opts.Self.VM))&vmMask)
+}
+
+// loseServer gives a server up that another VM has taken, or may have.
+func (m *Machine) loseServer(o *ownedServer, cause string) {
+	if m.owned[o.ID] != o {
+		return
+	}
+	y := m.yields[o.ID]
+	y.pause = min(max(2*y.pause, yieldFor), longestYield)
+	y.until = m.now.Add(y.pause)
+	y.boost = 2*y.boost + uint64(yieldFor.Milliseconds())
+	m.yields[o.ID] = y
+	m.counters.Fenced++
+	m.record("serverLost", "backend", o.ID, "cause", cause, "token", o.token, "runs", len(o.runs), "pause", y.pause)
+	m.letGo(o)
+}
+
+// letGo forgets a server. Homes claim its runs from the next owner.
+func (m *Machine) letGo(o *ownedServer) {
+	for _, r := range o.sortedRuns() {
+		m.moved[r.ref] = movedRun{backend: o.ID, at: m.now}
+		if r.state != runRunning && r.state != runStarting && r.home != (identifier.Member{}) {
+			m.tell(r.home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID})
+		}
+	}
+	delete(m.owned, o.ID)
+	m.reportDirty = true
+	m.orphanTasks(m.opts.Self, o.ID, m.now)
+}
+
+// considerRelease releases a server to the live VM that should own it.
+func (m *Machine) considerRelease(o *ownedServer, proposed proposal) {
+	p := m.peers[proposed.owner]
+	if p == nil || !m.alive(p) {
+		return
+	}
+	if m.draining || m.now.Sub(proposed.since) >= rebalanceDelay && o.phase == phaseReady {
+		o.phase = phaseReleasing
+		o.releaseTo = p.member
+		m.reportDirty = true
+		m.advancePhase(o)
+	}
+}
+
+// advancePhase moves a server on when what it waits for has come.
+func (m *Machine) advancePhase(o *ownedServer) {
+	switch o.phase {
+	case phaseTaking:
+		if o.clockKnown && o.silent == 0 && o.looking == 0 {
+			o.phase = phaseClaiming
+			o.claimUntil = m.now.Add(claimWindow)
+			m.answerHeldClaims(o)
+			m.advancePhase(o)
+		}
+	case phaseClaiming:
+		if o.orphans() == 0 {
+			m.becomeReady(o)
+		} else if !m.now.Before(o.claimUntil) {
+			o.phase = phaseClearing
+			m.advancePhase(o)
+		}
+	case phaseClearing:
+		for _, r := range o.sortedRuns() {
+			if r.state == runOrphan {
+				m.stop(o, r, "no home has claimed it")
+			}
+		}
+		if o.unclaimed() == 0 {
+			m.becomeReady(o)
+		}
+	case phaseReleasing:
+		m.release(o)
+	case phaseReady:
+	}
+}
+
+func (m *Machine) becomeReady(o *ownedServer) {
+	o.phase = phaseReady
+	delete(m.yields, o.ID)
+	m.reportDirty = true
+	m.record("serverReady", "backend", o.ID, "runs", len(o.runs), "token", o.token)
+}
+
+// orphans counts the runs that wait for a claim.
+func (o *ownedServer) orphans() (n int) {
+	for _, r := range o.runs {
+		if r.state == runOrphan {
+			n++
+		}
+	}
+	return n
+}
+
+// unclaimed counts the runs that no home waits for.
+func (o *ownedServer) unclaimed() (n int) {
+	for _, r := range o.runs {
+		if r.home == (identifier.Member{}) {
+			n++
+		}
+	}
+	return n
+}
+
+// release hands a server over once no start or stop is open there.
+func (m *Machine) release(o *ownedServer) {
+	for _, r := range o.runs {
+		if r.state != runRunning {
+			return
+		}
+	}
+	p := m.peers[o.releaseTo.VM]
+	if p == nil || p.member != o.releaseTo || !m.alive(p) || p.draining {
+		o.phase = phaseReady // the next owner is gone
+		return
+	}
+	m.counters.Released++
+	m.record("serverReleased", "backend", o.ID, "to", o.releaseTo, "runs", len(o.runs), "token", o.token)
+	m.emit(SendMessage{To: o.releaseTo, Message: peermessenger.ServerReleased{Backend: o.ID, Token: o.token}})
+	m.letGo(o)
+}
+
+// serverReleased takes a server over that its owner has released to this VM.
+func (m *Machine) serverReleased(from identifier.Member, msg peermessenger.ServerReleased) {
+	if m.owners[msg.Backend].token <= msg.Token {
+		m.owners[msg.Backend] = ownership{owner: from, token: msg.Token}
+	}
+	if p := m.peers[from.VM]; p != nil {
+		delete(p.view, msg.Backend)
+	}
+	if !m.draining {
+		m.take(msg.Backend, "released")
+	}
+}
+
+// claimed answers a home that claims runs.
+func (m *Machine) claimed(from identifier.Member, msg peermessenger.ClaimRuns) {
+	for _, c := range msg.Runs {
+		m.claimedRun(from, msg.Backend, c)
+	}
+}
+
+func (m *Machine) claimedRun(from identifier.Member, backend identifier.BackendID, c peermessenger.ClaimedRun) {
+	for _, q := range m.queue {
+		if q.msg.Run == c.Run {
+			q.home = from
+			return
+		}
+	}
+	for _, id := range m.ownedIDs() {
+		if r := m.owned[id].runs[c.Run]; r != nil {
+			m.adopt(m.owned[id], r, from, c)
+			return
+		}
+	}
+	if e, ok := m.ended[c.Run]; ok {
+		e.home = from
+		m.ended[c.Run] = e
+		m.tell(from, e.msg)
+		return
+	}
+	if at, ok := m.moved[c.Run]; ok && m.owned[at.backend] == nil {
+		m.tell(from, peermessenger.TaskPlaced{Run: c.Run, Backend: at.backend})
+		return // its home claims it from the server's next owner
+	}
+	if backend == "" {
+		backend = c.Backend
+	}
+	o := m.owned[backend]
+	if backend != "" && o == nil {
+		return // another VM owns it by now
+	}
+	if o != nil && o.phase == phaseTaking {
+		o.claims = append(o.claims, heldClaim{from: from, run: c})
+		return
+	}
+	e := endedRun{home: from, at: m.now, msg: peermessenger.TaskEnded{
+		Run: c.Run, Backend: backend, Ending: peermessenger.RunStopped, Cause: "its server doesn't know it any more",
+	}}
+	m.ended[c.Run] = e // a delayed request for it is refused
+	m.tell(from, e.msg)
+}
+
+func (m *Machine) answerHeldClaims(o *ownedServer) {
+	claims := o.claims
+	o.claims = nil
+	for _, c := range claims {
+		m.claimedRun(c.from, o.ID, c.run)
+	}
+}
+
+// adopt keeps a run for the home that claims it.
+func (m *Machine) adopt(o *ownedServer, r *run, home identifier.Member, c peermessenger.ClaimedRun) {
+	r.home = home
+	if r.state == runOrphan {
+		r.state = runRunning
+		r.msg = peermessenger.RunTask{
+			Run: c.Run, Pool: o.Pool, Millicores: c.Millicores, Memory: c.Memory, Estimate: c.Estimate, Priority: c.Priority,
+		}
+		m.reportDirty = true
+	}
+	if r.state == runRunning {
+		m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID})
+	}
+}
+
+// drain hands over all servers and gives queued tasks back.
+func (m *Machine) drain() {
+	if m.draining {
+		return
+	}
+	m.draining = true
+	m.reportDirty = true
+	m.record("drainStarted", "openJobs", len(m.jobs), "ownedServers", len(m.owned), "queued", len(m.queue))
+	if !m.anyPeerAlive() {
+		return
+	}
+	queued := m.queue
+	m.queue = nil
+	for _, q := range queued {
+		m.tell(q.home, peermessenger.TaskEnded{Run: q.msg.Run, Ending: peermessenger.RunNotStarted, Cause: "its owner shuts down"})
+	}
+	m.assign()
+}
