--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -198,4 +198,3 @@
 		s.post(repeater.ServersChanged{Revision: c.ServersSeen, Servers: servers})
 	}
 }
-
--- a/internal/storefollower/follower.go
+++ b/internal/storefollower/follower.go
@@ -10,11 +10,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits for a change.
-	watchWait = 20 * time.Second
 	// watchSlack is added to the wait before a watch without an answer is given
-	// up.
-	watchSlack = time.Second
+	// up: it covers the answer of a slow store.
+	watchSlack = 400 * time.Millisecond
 	// rangeTimeout bounds one page: a slow store's answer takes a quarter of a
 	// second.
 	rangeTimeout = 2 * time.Second
@@ -35,8 +33,14 @@
 
 // Options configure a Follower.
 type Options struct {
-	Store   Store
-	Prefix  string
+	Store  Store
+	Prefix string
+	// Pace is the shortest time between two watches. Where items change all the
+	// time, it joins changes into fewer calls.
+	Pace time.Duration
+	// Wait is how long one watch waits for a change. A connection that has gone
+	// silent is noticed after it.
+	Wait    time.Duration
 	Changed func(Snapshot) // must not keep the map
 	Logger  log.Logger
 }
@@ -78,11 +82,25 @@
 				break
 			}
 			f.works()
+			f.sleep(ctx, f.opts.Pace)
 		}
 	}
 	return nil
 }
 
+// sleep waits for a time, or until the context ends.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // load reads all items.
 func (f *Follower) load(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "reading items under %s", f.opts.Prefix) }()
@@ -134,9 +152,9 @@
 // watch waits for changes and takes them over.
 func (f *Follower) watch(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "watching items under %s", f.opts.Prefix) }()
-	wait := watchWait
+	wait := f.opts.Wait
 	if len(f.missing) > 0 {
-		wait = returnGrace / 2
+		wait = min(wait, returnGrace/2)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
@@ -195,12 +213,7 @@
 		_ = f.opts.Logger.Log("level", "warn", "msg", "store lost", "prefix", f.opts.Prefix, "revision", f.at, "err", err)
 	}
 	f.failing = true
-	timer := time.NewTimer(f.pause/2 + rand.N(f.pause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	f.sleep(ctx, f.pause/2+rand.N(f.pause))
 	f.pause = min(2*f.pause, retryLongest)
 }
 
