fix(repeater): tell apart the homes of one job; keep to leases of earlier owners

Cause: random histories of machines, servers and callers (new) ran tasks twice: an owner answered a claim from the end of an earlier submission's run of the same number; a new owner held a run to be lapsed whose lease the earlier owner had extended; a restarted server's answer to a start was taken for the old process's; a paused owner started what had waited in its socket.

Change: run names carry the home's number of the job; the first answer of a server bounds what earlier owners may have asked for; the generation is checked on each answer; requests that were read right after a pause are given back.

--- /dev/null
+++ b/internal/repeater/faults_test.go
@@ -0,0 +1,71 @@
+package repeater
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var histories = flag.Int("histories", 150, "random histories of VMs, servers and callers that are played")
+
+// TestNoTaskRunsTwiceAtATime plays random histories with faults. No task may run
+// twice at the same moment, no job may run whose every attempt was refused, and
+// no request may be answered twice.
+func TestNoTaskRunsTwiceAtATime(t *testing.T) {
+	for seed := range uint64(*histories) {
+		w := playFaults(seed)
+		if len(w.violations) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(w.violations, "\n"), strings.Join(w.trace, "\n"))
+		}
+	}
+}
+
+// TestNoTaskRunsTwiceRapid lets rapid choose the history and shrink it.
+func TestNoTaskRunsTwiceRapid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := playFaults(rapid.Uint64().Draw(t, "seed"))
+		if len(w.violations) > 0 {
+			t.Fatalf("%s", strings.Join(w.violations, "\n"))
+		}
+	})
+}
+
+var verbose = flag.Bool("verboseHistories", false, "the trace of a history holds all decisions")
+
+func playFaults(seed uint64) *world {
+	const length = 14 * time.Second
+	w := newWorld(seed, worldConfig{
+		vms: 3 + int(seed%4), servers: 6 + int(seed%5), jobs: 120, faults: 3 + int(seed%9),
+		lateOrders: 0.01 * float64(seed%4), lostAnswers: 0.01 * float64(seed%3), badRuns: 0.01,
+	})
+	w.verbose = *verbose
+	w.submitJobs(length)
+	w.drawFaults(length)
+	w.run(length + 6*time.Second)
+	return w
+}
+
+// TestCalmDayIsServed plays a day without faults and little load: each job is
+// answered, and on time.
+func TestCalmDayIsServed(t *testing.T) {
+	const length = 20 * time.Second
+	w := newWorld(1, worldConfig{vms: 5, servers: 12, jobs: 100})
+	w.submitJobs(length)
+	w.run(length + 4*time.Second)
+	if len(w.violations) > 0 {
+		t.Fatal(strings.Join(w.violations, "\n"))
+	}
+	for _, j := range w.jobs {
+		if j.outcome != "completed" {
+			t.Errorf("job %s: %q", j.id, j.outcome)
+			continue
+		}
+		objective := time.Duration(1.6*float64(j.length)) + 60*time.Millisecond
+		if took := j.ended.Sub(j.first); took > objective {
+			t.Errorf("job %s of %v took %v", j.id, j.length, took)
+		}
+	}
+}
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/peppertrack/peppertrack/internal/admitter"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
@@ -71,6 +74,7 @@
 		deadline:  m.now.Add(e.Job.Budget),
 		tasks:     make([]task, e.Job.Tasks),
 		open:      e.Job.Tasks,
+		run:       m.newJobRun(),
 	}
 	for i := range j.tasks {
 		j.tasks[i].number = 1
@@ -78,6 +82,14 @@
 	return j
 }
 
+// newJobRun returns a number that no other VM or process uses.
+func (m *Machine) newJobRun() identifier.JobRun {
+	m.lastJobRun++
+	h := xxhash.New()
+	_, _ = fmt.Fprintf(h, "%s %d", m.opts.Self, m.lastJobRun) // a hash in memory doesn't fail
+	return identifier.JobRun(max(h.Sum64(), 1))
+}
+
 func indexes(n int) []int {
 	all := make([]int, n)
 	for i := range all {
@@ -141,7 +153,7 @@
 // open returns the task of a run that its home waits for, or nil.
 func (m *Machine) openTask(ref identifier.RunRef) (*openJob, *task) {
 	j := m.jobs[ref.Task.Submission]
-	if j == nil || int(ref.Task.Index) >= len(j.tasks) {
+	if j == nil || j.run != ref.JobRun || int(ref.Task.Index) >= len(j.tasks) {
 		return nil, nil
 	}
 	t := &j.tasks[ref.Task.Index]
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -53,6 +53,7 @@
 	deadline  time.Time
 	tasks     []task
 	open      int // tasks that have not ended
+	run       identifier.JobRun
 	started   bool
 	planned   *fleet // that the latest plan was made from
 }
@@ -61,6 +62,7 @@
 	return identifier.RunRef{
 		Task:   identifier.TaskRef{Submission: j.ID, Index: identifier.TaskIndex(index)},
 		Number: j.tasks[index].number,
+		JobRun: j.run,
 	}
 }
 
--- a/internal/repeater/look.go
+++ b/internal/repeater/look.go
@@ -80,16 +80,7 @@
 		m.reportDirty = true
 	}
 	o.silent = 0
-	if e.Clock.Generation != 0 && o.generation != 0 && e.Clock.Generation != o.generation {
-		m.resetServer(o, "it has restarted")
-		if m.owned[o.ID] != o {
-			return
-		}
-	}
-	o.noteClock(m.now, e.Clock)
-	if e.Clock.Generation != 0 {
-		o.generation = e.Clock.Generation
-	}
+	m.noteClock(o, e.Clock)
 	for _, end := range e.Result.Ended {
 		m.seeEnd(o, end)
 	}
@@ -136,7 +127,7 @@
 		if o.phase == phaseReady || o.phase == phaseReleasing {
 			m.record("strayRun", "job", a.Run.Task.Submission, "task", a.Run.Task.Index, "run", a.Run.Number, "backend", o.ID)
 		}
-		r = &run{ref: a.Run, state: runOrphan, since: m.now, startedAt: m.now, progressAt: m.now}
+		r = &run{ref: a.Run, state: runOrphan, since: m.now, startedAt: m.now, progressAt: m.now, generation: o.generation}
 		// What it takes is not known until a home claims it.
 		r.msg.Millicores, r.msg.Memory = o.Cores, o.Memory
 		o.runs[a.Run] = r
@@ -145,6 +136,7 @@
 		}
 		return
 	}
+	r.generation = o.generation
 	if r.state == runStarting || r.state == runUnknown {
 		m.runStarted(o, r)
 	}
@@ -156,7 +148,7 @@
 // seeAbsent ends the runs that should be in a look's answer and are not.
 func (m *Machine) seeAbsent(o *ownedServer, ord order, active map[identifier.RunRef]bool) {
 	for _, r := range o.sortedRuns() {
-		if active[r.ref] {
+		if active[r.ref.OnServer()] {
 			continue
 		}
 		switch r.state {
@@ -173,6 +165,31 @@
 	}
 }
 
+// noteClock takes in the time and the generation that an answer tells. A new
+// generation knows nothing of the runs that an earlier one had.
+func (m *Machine) noteClock(o *ownedServer, c ServerClock) {
+	if c.Known {
+		o.clock, o.clockAt, o.clockKnown = c.Now, m.now, true
+		if o.leaseEnd == 0 { // an earlier owner may have asked for the longest lease just now
+			o.leaseEnd = c.Now + ServerTime(m.opts.Bounds.LongestLease)
+		}
+	}
+	if c.Generation == 0 || c.Generation == o.generation {
+		return
+	}
+	if o.generation != 0 {
+		m.record("serverRestarted", "backend", o.ID, "runs", len(o.runs), "generation", c.Generation, "earlier", o.generation)
+		o.observed, o.leaseEnd = 0, 0
+		m.reportDirty = true
+	}
+	o.generation = c.Generation
+	for _, r := range o.sortedRuns() {
+		if r.generation != 0 && r.generation != c.Generation {
+			m.endRun(o, r, peermessenger.RunStopped, "its server has restarted")
+		}
+	}
+}
+
 // resetServer drops all runs of a server that has lost them.
 func (m *Machine) resetServer(o *ownedServer, cause string) {
 	m.record("serverReset", "backend", o.ID, "cause", cause, "runs", len(o.runs), "generation", o.generation)
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -27,6 +27,7 @@
 	// as a home
 	jobs        map[identifier.SubmissionID]*openJob
 	byRequest   map[RequestID]identifier.SubmissionID
+	lastJobRun  uint64
 	refuseUntil time.Time // requests may have waited through a pause
 
 	// as an owner
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -1,7 +1,6 @@
 package repeater
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -74,6 +73,7 @@
 	state      runState
 	since      time.Time // it was ordered, or found
 	startedAt  time.Time
+	generation identifier.Generation // of its server; 0: not known
 	stopCause  string
 	stopOrder  OrderID   // open
 	stoppedAt  time.Time // the stop was accepted
@@ -107,12 +107,6 @@
 	return o.clock + ServerTime(now.Sub(o.clockAt))
 }
 
-func (o *ownedServer) noteClock(now time.Time, c ServerClock) {
-	if c.Known {
-		o.clock, o.clockAt, o.clockKnown = c.Now, now, true
-	}
-}
-
 // lapsed reports whether every lease that was ever asked for is over, on the
 // slowest clock that the server may have.
 func (o *ownedServer) lapsed(now time.Time) bool {
@@ -121,10 +115,7 @@
 }
 
 func (o *ownedServer) sortedRuns() []*run {
-	return slices.SortedFunc(maps.Values(o.runs), func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.ref.Task.Submission, b.ref.Task.Submission),
-			cmp.Compare(a.ref.Task.Index, b.ref.Task.Index), cmp.Compare(a.ref.Number, b.ref.Number))
-	})
+	return slices.SortedFunc(maps.Values(o.runs), func(a, b *run) int { return compareRuns(a.ref, b.ref) })
 }
 
 // ownedIDs returns the servers of this VM, in order.
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -1,6 +1,8 @@
 package repeater
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,9 +58,12 @@
 		m.startOutOfHand(ord, e.Result)
 		return
 	}
-	o.noteClock(m.now, e.Clock)
-	r := o.runs[ord.run]
-	if r == nil {
+	r := o.runs[ord.run.OnServer()]
+	if r != nil && e.Result == StartAccepted {
+		r.generation = e.Clock.Generation
+	}
+	m.noteClock(o, e.Clock)
+	if r == nil || r.ref != ord.run || o.runs[ord.run.OnServer()] != r {
 		return // a look has shown its end already
 	}
 	if e.Result == StartAccepted {
@@ -78,7 +83,7 @@
 		m.stop(o, r, "the start got no answer")
 		return
 	}
-	delete(o.runs, ord.run)
+	delete(o.runs, ord.run.OnServer())
 	m.reportDirty = true
 	m.startRefused(o, ord, r, e.Result)
 }
@@ -150,7 +155,7 @@
 
 // endRun forgets a run that goes on nowhere and tells its home.
 func (m *Machine) endRun(o *ownedServer, r *run, ending peermessenger.RunEnding, cause string) {
-	delete(o.runs, r.ref)
+	delete(o.runs, r.ref.OnServer())
 	m.reportDirty = true
 	msg := peermessenger.TaskEnded{Run: r.ref, Backend: o.ID, Ending: ending, Cause: cause}
 	if !r.startedAt.IsZero() {
@@ -185,8 +190,8 @@
 	if o == nil {
 		return
 	}
-	o.noteClock(m.now, e.Clock)
-	r := o.runs[ord.run]
+	m.noteClock(o, e.Clock)
+	r := o.runs[ord.run.OnServer()]
 	if r == nil {
 		return
 	}
@@ -231,7 +236,7 @@
 		}
 		for _, id := range m.ownedIDs() {
 			o := m.owned[id]
-			if r := o.runs[ref]; r != nil && (r.home == home || r.state == runOrphan) {
+			if r := o.runs[ref.OnServer()]; r != nil && r.ref == ref && r.home == home {
 				m.stop(o, r, "nobody waits for it")
 			}
 		}
@@ -240,8 +245,8 @@
 
 // repeatEndings tells a home again what may have been lost with a link.
 func (m *Machine) repeatEndings(home identifier.Member) {
-	for _, e := range m.ended {
-		if e.home == home {
+	for _, ref := range slices.SortedFunc(maps.Keys(m.ended), compareRuns) {
+		if e := m.ended[ref]; e.home == home {
 			m.tell(home, e.msg)
 		}
 	}
@@ -261,3 +266,8 @@
 
 // trust forgets the failures of a server that has ended a run well.
 func (o *ownedServer) trust() { o.suspicion, o.suspendFor = 0, 0 }
+
+func compareRuns(a, b identifier.RunRef) int {
+	return cmp.Or(cmp.Compare(a.Task.Submission, b.Task.Submission), cmp.Compare(a.Task.Index, b.Task.Index),
+		cmp.Compare(a.Number, b.Number), cmp.Compare(a.JobRun, b.JobRun))
+}
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -88,6 +88,9 @@
 
 // unable returns why a task can't be queued here, or nothing.
 func (m *Machine) unable(msg peermessenger.RunTask) string {
+	if m.now.Before(m.refuseUntil) {
+		return "its owner was paused" // the request may have waited through it
+	}
 	if len(m.queue) >= maxQueue {
 		return "queueFull"
 	}
@@ -176,7 +179,7 @@
 func (m *Machine) start(o *ownedServer, q *queuedTask) {
 	m.counters.Starts++
 	r := &run{ref: q.msg.Run, home: q.home, msg: q.msg, state: runStarting, since: m.now}
-	o.runs[r.ref] = r
+	o.runs[r.ref.OnServer()] = r
 	id := m.newOrder(order{server: o.ID, run: r.ref, queued: q})
 	expires := o.serverNow(m.now) + ServerTime(leaseLength)
 	o.leaseEnd = max(o.leaseEnd, expires)
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -163,6 +163,9 @@
 		return
 	}
 	y := m.yields[o.ID]
+	if m.now.Sub(y.until) > longestYield {
+		y = yield{} // the dispute is an old one
+	}
 	y.pause = min(max(2*y.pause, yieldFor), longestYield)
 	y.until = m.now.Add(y.pause)
 	y.boost = 2*y.boost + uint64(yieldFor.Milliseconds())
@@ -233,7 +236,6 @@
 
 func (m *Machine) becomeReady(o *ownedServer) {
 	o.phase = phaseReady
-	delete(m.yields, o.ID)
 	m.reportDirty = true
 	m.record("serverReady", "backend", o.ID, "runs", len(o.runs), "token", o.token)
 }
@@ -292,25 +294,24 @@
 // claimed answers a home that claims runs.
 func (m *Machine) claimed(from identifier.Member, msg peermessenger.ClaimRuns) {
 	for _, c := range msg.Runs {
-		m.claimedRun(from, msg.Backend, c)
+		m.claimedRun(from, c)
 	}
 }
 
-func (m *Machine) claimedRun(from identifier.Member, backend identifier.BackendID, c peermessenger.ClaimedRun) {
+// claimedRun answers for one run: it goes on, it has ended, or it is not here.
+func (m *Machine) claimedRun(from identifier.Member, c peermessenger.ClaimedRun) {
 	for _, q := range m.queue {
 		if q.msg.Run == c.Run {
 			q.home = from
 			return
 		}
 	}
-	for _, id := range m.ownedIDs() {
-		if r := m.owned[id].runs[c.Run]; r != nil {
-			m.adopt(m.owned[id], r, from, c)
-			return
-		}
+	if o, r := m.findRun(c); r != nil {
+		m.adopt(o, r, from, c)
+		return
 	}
-	if e, ok := m.ended[c.Run]; ok {
-		e.home = from
+	if e, ok := m.findEnding(c); ok {
+		e.home, e.msg.Run = from, c.Run
 		m.ended[c.Run] = e
 		m.tell(from, e.msg)
 		return
@@ -319,11 +320,8 @@
 		m.tell(from, peermessenger.TaskPlaced{Run: c.Run, Backend: at.backend})
 		return // its home claims it from the server's next owner
 	}
-	if backend == "" {
-		backend = c.Backend
-	}
-	o := m.owned[backend]
-	if backend != "" && o == nil {
+	o := m.owned[c.Backend]
+	if c.Backend != "" && o == nil {
 		return // another VM owns it by now
 	}
 	if o != nil && o.phase == phaseTaking {
@@ -331,23 +329,47 @@
 		return
 	}
 	e := endedRun{home: from, at: m.now, msg: peermessenger.TaskEnded{
-		Run: c.Run, Backend: backend, Ending: peermessenger.RunStopped, Cause: "its server doesn't know it any more",
+		Run: c.Run, Backend: c.Backend, Ending: peermessenger.RunStopped, Cause: "its server doesn't know it any more",
 	}}
 	m.ended[c.Run] = e // a delayed request for it is refused
 	m.tell(from, e.msg)
 }
 
+// findRun returns a claimed run: on the server that its home names, or on any
+// when it names none.
+func (m *Machine) findRun(c peermessenger.ClaimedRun) (*ownedServer, *run) {
+	for _, id := range m.ownedIDs() {
+		r := m.owned[id].runs[c.Run.OnServer()]
+		if r == nil {
+			continue
+		}
+		if r.ref == c.Run || r.home == (identifier.Member{}) && id == c.Backend {
+			return m.owned[id], r
+		}
+	}
+	return nil, nil
+}
+
+// findEnding returns how a claimed run ended, if that is known.
+func (m *Machine) findEnding(c peermessenger.ClaimedRun) (endedRun, bool) {
+	if e, ok := m.ended[c.Run]; ok {
+		return e, true
+	}
+	e, ok := m.ended[c.Run.OnServer()] // found ended at takeover
+	return e, ok && c.Backend != "" && e.msg.Backend == c.Backend
+}
+
 func (m *Machine) answerHeldClaims(o *ownedServer) {
 	claims := o.claims
 	o.claims = nil
 	for _, c := range claims {
-		m.claimedRun(c.from, o.ID, c.run)
+		m.claimedRun(c.from, c.run)
 	}
 }
 
 // adopt keeps a run for the home that claims it.
 func (m *Machine) adopt(o *ownedServer, r *run, home identifier.Member, c peermessenger.ClaimedRun) {
-	r.home = home
+	r.home, r.ref = home, c.Run
 	if r.state == runOrphan {
 		r.state = runRunning
 		r.msg = peermessenger.RunTask{
