fix(repeater): make good lost cancellations; answer claims from a fresh look

A cancellation was lost with a link and its run went on; a home followed an older report to an owner that had lost the server; an owner disowned a run that another owner had started on a server that had restarted and so forgotten all tokens; a restarted server's lease was taken to be over.

Ruled out: longer silence bounds, which only move the window.

Change: after each new link a home names all that it waits for, and the owner stops the rest; TaskPlaced carries the token of its owner; a claim of an unknown run waits for a look that was sent after it; a new generation's lease is taken to be the longest.

--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -21,8 +21,9 @@
 
 // TaskPlaced tells the home of a job that a server has started a run.
 type TaskPlaced struct {
-	Run     identifier.RunRef    `cbor:"1,keyasint"`
-	Backend identifier.BackendID `cbor:"2,keyasint"`
+	Run     identifier.RunRef       `cbor:"1,keyasint"`
+	Backend identifier.BackendID    `cbor:"2,keyasint"`
+	Token   identifier.FencingToken `cbor:"3,keyasint"` // by which the sender owns the server, or owned it
 }
 
 // RunEnding says how a run ended.
@@ -80,9 +81,10 @@
 }
 
 // ClaimRuns asks an owner to keep runs that an earlier owner, or an earlier
-// link, was asked for. The owner answers TaskPlaced or TaskEnded for each.
+// link, was asked for. The owner answers TaskPlaced or TaskEnded for each. What a
+// lost link has swallowed is made good by it, cancellations included.
 type ClaimRuns struct {
-	Backend identifier.BackendID `cbor:"1,keyasint"` // the server that the receiver took over; empty: all that it was asked for
+	Backend identifier.BackendID `cbor:"1,keyasint"` // the server that the receiver took over; empty: the sender waits for no other run of the receiver
 	Runs    []ClaimedRun         `cbor:"2,keyasint"`
 }
 
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -171,6 +171,11 @@
 	}
 	m.settle(j, t)
 	t.state, t.owner, t.backend = taskPlaced, from, msg.Backend
+	if known := m.owners[msg.Backend]; known.token > msg.Token && known.owner != from {
+		m.claimFrom(known.owner, msg.Backend) // it has a later owner already
+		return
+	}
+	m.noteOwner(msg.Backend, from, msg.Token)
 }
 
 func (m *Machine) taskEnded(from identifier.Member, msg peermessenger.TaskEnded) {
@@ -397,7 +402,7 @@
 			})
 		}
 	}
-	if len(msg.Runs) > 0 {
+	if len(msg.Runs) > 0 || backend == "" {
 		m.record("runsClaimed", "owner", owner, "backend", backend, "runs", len(msg.Runs))
 		m.tell(owner, msg)
 	}
--- a/internal/repeater/look.go
+++ b/internal/repeater/look.go
@@ -33,6 +33,9 @@
 		l.Expires = o.serverNow(m.now) + ServerTime(2*clearingLookWait)
 	case phaseTaking:
 	}
+	if len(o.claims) > 0 {
+		l.Wait = 0
+	}
 	if len(o.runs) == 0 || !o.clockKnown {
 		l.Wait = 0
 		l.Expires = 0
@@ -90,8 +93,9 @@
 		m.seeActive(o, a)
 	}
 	m.seeAbsent(o, ord, active)
+	m.answerHeldClaims(o, ord.issued)
 	m.advancePhase(o)
-	if o.looking == 0 && len(o.runs) > 0 && m.owned[o.ID] == o {
+	if o.looking == 0 && (len(o.runs) > 0 || len(o.claims) > 0) && m.owned[o.ID] == o {
 		m.look(o)
 	}
 }
@@ -168,18 +172,21 @@
 // noteClock takes in the time and the generation that an answer tells. A new
 // generation knows nothing of the runs that an earlier one had.
 func (m *Machine) noteClock(o *ownedServer, c ServerClock) {
-	if c.Known {
-		o.clock, o.clockAt, o.clockKnown = c.Now, m.now, true
-		if o.leaseEnd == 0 { // an earlier owner may have asked for the longest lease just now
-			o.leaseEnd = c.Now + ServerTime(m.opts.Bounds.LongestLease)
-		}
+	if !c.Known {
+		return
+	}
+	o.clock, o.clockAt, o.clockKnown = c.Now, m.now, true
+	if o.leaseEnd == 0 || c.Generation != o.generation {
+		// Another owner, or an order on the clock of an earlier generation, may
+		// have asked for the longest lease just now.
+		o.leaseEnd = c.Now + ServerTime(m.opts.Bounds.LongestLease)
 	}
 	if c.Generation == 0 || c.Generation == o.generation {
 		return
 	}
 	if o.generation != 0 {
 		m.record("serverRestarted", "backend", o.ID, "runs", len(o.runs), "generation", c.Generation, "earlier", o.generation)
-		o.observed, o.leaseEnd = 0, 0
+		o.observed = 0
 		m.reportDirty = true
 	}
 	o.generation = c.Generation
@@ -212,7 +219,7 @@
 			continue
 		}
 		idle := m.now.Sub(o.clockAt) > idleLook
-		if len(o.runs) > 0 || o.phase != phaseReady || o.silent > 0 || !o.clockKnown || idle {
+		if len(o.runs) > 0 || o.phase != phaseReady || o.silent > 0 || !o.clockKnown || idle || len(o.claims) > 0 {
 			m.look(o)
 		}
 	}
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -26,7 +26,7 @@
 	token      identifier.FencingToken
 	phase      ownerPhase
 	claimUntil time.Time
-	claims     []heldClaim // that arrived before the first look
+	claims     []heldClaim // that wait for a look
 	releaseTo  identifier.Member
 	listed     bool
 
@@ -48,8 +48,9 @@
 	fullUntil      time.Time // it had less room than expected
 }
 
-// heldClaim is a claim that waits for the first look.
+// heldClaim is a claim that waits for a look that is sent after it.
 type heldClaim struct {
+	at   time.Time
 	from identifier.Member
 	run  peermessenger.ClaimedRun
 }
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -135,7 +135,7 @@
 	}
 	switch result {
 	case StartAccepted, StartUnanswered:
-		m.tell(ord.queued.home, peermessenger.TaskPlaced{Run: ord.run, Backend: ord.server})
+		m.tell(ord.queued.home, peermessenger.TaskPlaced{Run: ord.run, Backend: ord.server, Token: ord.token})
 	default:
 		m.tell(ord.queued.home, peermessenger.TaskEnded{Run: ord.run, Ending: peermessenger.RunNotStarted, Cause: result.String()})
 	}
@@ -147,7 +147,7 @@
 	}
 	r.state = runRunning
 	r.startedAt, r.progressAt = m.now, m.now
-	m.tell(r.home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID})
+	m.tell(r.home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID, Token: o.token})
 	if o.looking == 0 {
 		m.look(o)
 	}
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -76,7 +76,7 @@
 			if r.ref == msg.Run && r.state != runStopping && r.state != runOrphan {
 				r.home = home
 				if r.state == runRunning {
-					m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: id})
+					m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: id, Token: m.owned[id].token})
 				}
 				return
 			}
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -20,6 +20,7 @@
 // movedRun is a run on a server that this VM has given up.
 type movedRun struct {
 	backend identifier.BackendID
+	token   identifier.FencingToken
 	at      time.Time
 }
 
@@ -178,9 +179,9 @@
 // letGo forgets a server. Homes claim its runs from the next owner.
 func (m *Machine) letGo(o *ownedServer) {
 	for _, r := range o.sortedRuns() {
-		m.moved[r.ref] = movedRun{backend: o.ID, at: m.now}
+		m.moved[r.ref] = movedRun{backend: o.ID, token: o.token, at: m.now}
 		if r.state != runRunning && r.state != runStarting && r.home != (identifier.Member{}) {
-			m.tell(r.home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID})
+			m.tell(r.home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID, Token: o.token})
 		}
 	}
 	delete(m.owned, o.ID)
@@ -209,7 +210,6 @@
 		if o.clockKnown && o.silent == 0 && o.looking == 0 {
 			o.phase = phaseClaiming
 			o.claimUntil = m.now.Add(claimWindow)
-			m.answerHeldClaims(o)
 			m.advancePhase(o)
 		}
 	case phaseClaiming:
@@ -296,6 +296,31 @@
 	for _, c := range msg.Runs {
 		m.claimedRun(from, c)
 	}
+	if msg.Backend == "" {
+		m.stopUnclaimed(from, msg.Runs)
+	}
+}
+
+// stopUnclaimed drops what a home has asked for earlier and doesn't claim.
+func (m *Machine) stopUnclaimed(home identifier.Member, claims []peermessenger.ClaimedRun) {
+	claimed := make(map[identifier.RunRef]bool, len(claims))
+	for _, c := range claims {
+		claimed[c.Run] = true
+	}
+	var dropped []identifier.RunRef
+	for _, q := range m.queue {
+		if q.home == home && !claimed[q.msg.Run] {
+			dropped = append(dropped, q.msg.Run)
+		}
+	}
+	for _, id := range m.ownedIDs() {
+		for _, r := range m.owned[id].sortedRuns() {
+			if r.home == home && !claimed[r.ref] {
+				dropped = append(dropped, r.ref)
+			}
+		}
+	}
+	m.cancelRuns(home, dropped)
 }
 
 // claimedRun answers for one run: it goes on, it has ended, or it is not here.
@@ -317,17 +342,28 @@
 		return
 	}
 	if at, ok := m.moved[c.Run]; ok && m.owned[at.backend] == nil {
-		m.tell(from, peermessenger.TaskPlaced{Run: c.Run, Backend: at.backend})
+		m.tell(from, peermessenger.TaskPlaced{Run: c.Run, Backend: at.backend, Token: at.token})
 		return // its home claims it from the server's next owner
 	}
 	o := m.owned[c.Backend]
 	if c.Backend != "" && o == nil {
 		return // another VM owns it by now
 	}
-	if o != nil && o.phase == phaseTaking {
-		o.claims = append(o.claims, heldClaim{from: from, run: c})
+	if o != nil {
+		// Another owner may have started it unseen, if the server has restarted.
+		o.claims = append(o.claims, heldClaim{from: from, run: c, at: m.now})
+		o.nextLook = m.now
+		if o.looking == 0 {
+			m.look(o)
+		}
 		return
 	}
+	m.disown(from, c)
+}
+
+// disown tells a home that a run goes on nowhere, as far as this owner has a
+// say, and sees to it that it stays so.
+func (m *Machine) disown(from identifier.Member, c peermessenger.ClaimedRun) {
 	e := endedRun{home: from, at: m.now, msg: peermessenger.TaskEnded{
 		Run: c.Run, Backend: c.Backend, Ending: peermessenger.RunStopped, Cause: "its server doesn't know it any more",
 	}}
@@ -359,11 +395,27 @@
 	return e, ok && c.Backend != "" && e.msg.Backend == c.Backend
 }
 
-func (m *Machine) answerHeldClaims(o *ownedServer) {
+// answerHeldClaims answers the claims that came before a look was sent.
+func (m *Machine) answerHeldClaims(o *ownedServer, looked time.Time) {
 	claims := o.claims
 	o.claims = nil
 	for _, c := range claims {
-		m.claimedRun(c.from, c.run)
+		if !c.at.Before(looked) {
+			o.claims = append(o.claims, c)
+			continue
+		}
+		if o, r := m.findRun(c.run); r != nil {
+			m.adopt(o, r, c.from, c.run)
+		} else if e, ok := m.findEnding(c.run); ok {
+			e.home, e.msg.Run = c.from, c.run.Run
+			m.ended[c.run.Run] = e
+			m.tell(c.from, e.msg)
+		} else {
+			m.disown(c.from, c.run)
+		}
+	}
+	if len(o.claims) > 0 {
+		o.nextLook = m.now
 	}
 }
 
@@ -378,7 +430,7 @@
 		m.reportDirty = true
 	}
 	if r.state == runRunning {
-		m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID})
+		m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID, Token: o.token})
 	}
 }
 
