fix(repeater): report only servers that answer to the owner's token

A VM outside the cut reported servers that it couldn't reach as its own, by a higher token, and homes followed it.

Change: a server is reported and claimed from once it has answered; a takeover that never was answered is dropped when the other VM is back; the bound is the sum of silence, tick and lease; leases are 0.7 s on a clock that is taken to be slow.

--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -39,7 +39,7 @@
 	m.byRequest[e.Request] = j.ID
 	m.counters.Admitted++
 	m.record("jobAdmitted", "job", j.ID, "route", j.Route.Name, "version", j.Version, "tasks", j.Tasks, "cores", j.Cores,
-		"estimate", j.Estimate, "wait", decision.Wait, "slack", j.slack(), "capacity", fleet.Capacity, "ahead", fleet.Ahead)
+		"estimate", j.Estimate, "budget", j.Budget, "wait", decision.Wait, "slack", j.slack(), "capacity", fleet.Capacity, "ahead", fleet.Ahead)
 	for i, t := range plan {
 		m.send(j, i, t)
 	}
--- a/internal/repeater/look.go
+++ b/internal/repeater/look.go
@@ -82,7 +82,7 @@
 		m.record("serverAnswers", "backend", o.ID, "silent", o.silent)
 		m.reportDirty = true
 	}
-	o.silent = 0
+	o.silent, o.confirmed = 0, true
 	m.noteClock(o, e.Clock)
 	for _, end := range e.Result.Ended {
 		m.seeEnd(o, end)
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -37,6 +37,7 @@
 	proposals  map[identifier.BackendID]proposal
 	queue      []*queuedTask
 	queueSeq   uint64
+	lastToken  identifier.FencingToken
 	orders     map[OrderID]order
 	lastOrder  OrderID
 	ended      map[identifier.RunRef]endedRun
@@ -183,7 +184,7 @@
 	}
 	for _, id := range m.ownedIDs() {
 		o := m.owned[id] // its token shows whether it was taken over
-		o.phase, o.nextLook = phaseTaking, m.now
+		o.phase, o.confirmed, o.nextLook = phaseTaking, false, m.now
 	}
 }
 
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -35,13 +35,16 @@
 	// less often, so that their cost stays bounded on a small VM.
 	peersPerInterval = 12
 
-	// leaseLength is the lease that an order asks for. It is under the longest
-	// lease, so that runs of a lost owner end sooner, and over twice lookWait.
-	leaseLength = 850 * time.Millisecond
+	// leaseLength is the lease that an order asks for. With silenceBound it stays
+	// under the time after which a caller sends a job again, and it is over twice
+	// lookWait.
+	leaseLength = 700 * time.Millisecond
 	// lookWait is how long a look at a server waits for an end.
-	lookWait = 350 * time.Millisecond
-	// clockDrift is how much slower than real time a server's clock may be.
-	clockDrift = 0.02
+	lookWait = 300 * time.Millisecond
+	// clockDrift is how much slower than real time a server's clock may be, and
+	// driftPercent the same in percent.
+	clockDrift   = driftPercent / 100.0
+	driftPercent = 2
 	// orderSlack covers the answer's way back when a lease's lapse is awaited.
 	orderSlack = 30 * time.Millisecond
 
@@ -49,10 +52,12 @@
 	// found on a server: a load report and a link's round trip between failure
 	// domains, twice.
 	claimWindow = 250 * time.Millisecond
+	// tickBound is the longest time between two ticks.
+	tickBound = 50 * time.Millisecond
 	// orphanBound is how long after an owner was last heard its unclaimed runs
-	// may still go on: the longest lease and its drift, or silence, takeover,
-	// claim window and stop together.
-	orphanBound = 1150 * time.Millisecond
+	// may still go on: it starts and extends them until it misses their home, and
+	// then their lease lapses.
+	orphanBound = silenceBound + tickBound + leaseLength*(100+driftPercent)/100 + 2*orderSlack
 
 	// startupGrace is how long a fresh VM listens to its peers before it takes
 	// over servers that nobody seems to own.
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -24,6 +24,7 @@
 type ownedServer struct {
 	Server
 	token      identifier.FencingToken
+	confirmed  bool // the server has answered to the token
 	phase      ownerPhase
 	claimUntil time.Time
 	claims     []heldClaim // that wait for a look
@@ -103,9 +104,10 @@
 	return max(cores, 0), max(memory, 0)
 }
 
-// serverNow estimates the time on the server's clock.
+// serverNow estimates the time on the server's clock, which may be slow. A lease
+// that is asked for by it is never longer than meant.
 func (o *ownedServer) serverNow(now time.Time) ServerTime {
-	return o.clock + ServerTime(now.Sub(o.clockAt))
+	return o.clock + ServerTime(float64(now.Sub(o.clockAt))*(1-clockDrift))
 }
 
 // lapsed reports whether every lease that was ever asked for is over, on the
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -52,6 +52,9 @@
 	}
 	for _, id := range m.ownedIDs() {
 		o := m.owned[id]
+		if !o.confirmed {
+			continue // another VM may still own it
+		}
 		load := peermessenger.ServerLoad{Backend: id, Token: o.token, Usable: o.usable(m.now)}
 		if load.Usable && o.startable(m.now) {
 			load.Free, load.FreeMemMB = o.free()
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -46,6 +46,9 @@
 			if m.mayTake(id) {
 				m.take(id, "proposed")
 			}
+		case o != nil && !o.confirmed && proposed.owner != m.opts.Self.VM:
+			m.record("takeoverDropped", "backend", id, "proposed", proposed.owner, "token", o.token)
+			m.letGo(o)
 		case o != nil && o.phase != phaseReleasing && proposed.owner != m.opts.Self.VM:
 			m.considerRelease(o, proposed)
 		}
@@ -138,12 +141,10 @@
 	known := m.owners[id]
 	token := m.newToken(known.token, m.yields[id].boost)
 	m.owned[id] = &ownedServer{Server: s, token: token, listed: true, runs: make(map[identifier.RunRef]*run)}
-	m.owners[id] = ownership{owner: m.opts.Self, token: token}
 	m.counters.Takeovers++
 	m.reportDirty = true
 	m.record("serverTaken", "backend", id, "cause", cause, "token", token, "earlierOwner", known.owner, "earlierToken", known.token)
 	m.look(m.owned[id])
-	m.claimFrom(m.opts.Self, id)
 }
 
 const (
@@ -154,8 +155,10 @@
 )
 
 func (m *Machine) newToken(known identifier.FencingToken, boost uint64) identifier.FencingToken {
+	known = max(known, m.lastToken)
 	at := max(uint64(m.now.UnixMilli())+boost, uint64(known)>>vmBits+1)
-	return identifier.FencingToken(at<<vmBits | xxhash.Sum64String(string(m.opts.Self.VM))&vmMask)
+	m.lastToken = identifier.FencingToken(at<<vmBits | xxhash.Sum64String(string(m.opts.Self.VM))&vmMask)
+	return m.lastToken
 }
 
 // loseServer gives a server up that another VM has taken, or may have.
@@ -207,7 +210,8 @@
 func (m *Machine) advancePhase(o *ownedServer) {
 	switch o.phase {
 	case phaseTaking:
-		if o.clockKnown && o.silent == 0 && o.looking == 0 {
+		if o.confirmed && o.clockKnown && o.silent == 0 && o.looking == 0 {
+			m.noteOwner(o.ID, m.opts.Self, o.token)
 			o.phase = phaseClaiming
 			o.claimUntil = m.now.Add(claimWindow)
 			m.advancePhase(o)
