fix(repeater): let leases lapse on a server that doesn't answer; test the adapter

Cause: each look at a silent server asked for a new lease, so that its runs were never held to be over, and their jobs waited for the caller's deadline. Found by TestSilentServer, which runs the adapter against stand-ins of the platform's store and servers.

Ruled out: the histories, which check that nothing runs twice, not that a job goes on.

Change: looks ask for no lease while the server is silent.

Before: TestSilentServer ended with 504 after 5 s. After: completed.

--- a/internal/repeater/look.go
+++ b/internal/repeater/look.go
@@ -31,7 +31,9 @@
 	if len(o.claims) > 0 || len(o.runs) == 0 || !o.clockKnown {
 		l.Wait = 0
 	}
-	if o.phase != phaseTaking && len(o.runs) > 0 && o.clockKnown && !o.holdsUnwanted(m.now) {
+	if o.silent > 0 {
+		l.Wait = 0 // and no lease: those of its runs have to lapse at a known time
+	} else if o.phase != phaseTaking && len(o.runs) > 0 && o.clockKnown && !o.holdsUnwanted(m.now) {
 		l.Expires = o.serverNow(m.now) + ServerTime(leaseLength)
 	}
 	o.leaseEnd = max(o.leaseEnd, l.Expires)
