feat(repeater): move runs that stand still or crawl to other servers

Cause: a task on a server that hangs kept its job open until the caller's deadline (504), though each look shows its progress.

Ruled out: judging by time alone, which would stop tasks whose estimate is off by the usual 40%.

--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -13,10 +13,11 @@
 	Spec       string                 `cbor:"3,keyasint"`
 	Millicores identifier.Millicores  `cbor:"4,keyasint"`
 	Memory     identifier.Mebibytes   `cbor:"5,keyasint"`
-	Estimate   time.Duration          `cbor:"6,keyasint"` // of its run time
-	Priority   int                    `cbor:"7,keyasint"` // 0 goes first
-	Objective  time.Duration          `cbor:"8,keyasint"` // left until the job is late
-	Avoid      []identifier.BackendID `cbor:"9,keyasint"` // servers where earlier runs failed
+	Estimate   time.Duration          `cbor:"6,keyasint"`  // of its run time
+	Priority   int                    `cbor:"7,keyasint"`  // 0 goes first
+	Objective  time.Duration          `cbor:"8,keyasint"`  // left until the job is late
+	Avoid      []identifier.BackendID `cbor:"9,keyasint"`  // servers where earlier runs failed
+	Moves      int                    `cbor:"10,keyasint"` // earlier runs that were stopped by their owner
 }
 
 // TaskPlaced tells the home of a job that a server has started a run.
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -113,7 +113,7 @@
 	}
 	msg := peermessenger.RunTask{
 		Run: j.ref(index), Pool: j.Route.Pool, Spec: j.Spec, Millicores: j.Cores, Memory: j.Memory, Estimate: j.Estimate,
-		Priority: j.Route.Priority, Objective: j.objective.Sub(m.now), Avoid: t.avoid,
+		Priority: j.Route.Priority, Objective: j.objective.Sub(m.now), Avoid: t.avoid, Moves: t.moves,
 	}
 	m.tell(to.owner, msg)
 }
@@ -218,6 +218,7 @@
 		m.record("runAgain", "job", j.ID, "task", index, "run", t.number, "backend", msg.Backend, "ending", msg.Ending, "cause", msg.Cause)
 		if msg.Ending == peermessenger.RunStopped {
 			t.avoid = appendNew(t.avoid, msg.Backend)
+			t.moves++
 		}
 		step := identifier.RunNumber(1)
 		if msg.Cause == causeSuperseded {
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -36,6 +36,7 @@
 	state     taskState
 	number    identifier.RunNumber // of the latest run
 	failures  int
+	moves     int // runs that were stopped while the job was open
 	owner     identifier.Member
 	intended  identifier.BackendID // the server that seemed to have room, when sent
 	backend   identifier.BackendID // the server that has started it, if one has
--- a/internal/repeater/look.go
+++ b/internal/repeater/look.go
@@ -146,7 +146,7 @@
 		if o.phase == phaseReady || o.phase == phaseReleasing {
 			m.record("strayRun", "job", a.Run.Task.Submission, "task", a.Run.Task.Index, "run", a.Run.Number, "backend", o.ID)
 		}
-		r = &run{ref: a.Run, state: runOrphan, since: m.now, startedAt: m.now, progressAt: m.now, generation: o.generation}
+		r = &run{ref: a.Run, state: runOrphan, since: m.now, startedAt: m.now, generation: o.generation}
 		// What it takes is not known until a home claims it.
 		r.msg.Millicores, r.msg.Memory = o.Cores, o.Memory
 		o.runs[a.Run] = r
@@ -159,9 +159,8 @@
 	if r.state == runStarting || r.state == runUnknown {
 		m.runStarted(o, r)
 	}
-	if a.Progress > r.progress {
-		r.progress, r.progressAt = a.Progress, m.now
-	}
+	r.progress = max(r.progress, a.Progress)
+	m.judge(o, r)
 }
 
 // seeAbsent ends the runs that should be in a look's answer and are not.
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -82,7 +82,7 @@
 	stoppedAt  time.Time // the stop was accepted
 	nextStop   time.Time
 	progress   float64
-	progressAt time.Time
+	moves      int // earlier runs of the task that were stopped for their progress
 }
 
 // usable reports whether the server takes work, now or when runs end.
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -146,7 +146,7 @@
 		return
 	}
 	r.state = runRunning
-	r.startedAt, r.progressAt = m.now, m.now
+	r.startedAt = m.now
 	m.tell(r.home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID, Token: o.token})
 	if o.looking == 0 {
 		m.look(o)
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -178,7 +178,7 @@
 // start orders a server to start a queued task.
 func (m *Machine) start(o *ownedServer, q *queuedTask) {
 	m.counters.Starts++
-	r := &run{ref: q.msg.Run, home: q.home, msg: q.msg, state: runStarting, since: m.now}
+	r := &run{ref: q.msg.Run, home: q.home, msg: q.msg, state: runStarting, since: m.now, moves: q.msg.Moves}
 	o.runs[r.ref.OnServer()] = r
 	id := m.newOrder(order{server: o.ID, run: r.ref, queued: q})
 	expires := o.serverNow(m.now) + ServerTime(leaseLength)
--- a/internal/repeater/worldserver_test.go
+++ b/internal/repeater/worldserver_test.go
@@ -33,6 +33,7 @@
 	started  time.Time
 	length   time.Duration
 	stopping bool
+	stalled  bool
 	over     bool
 }
 
@@ -177,7 +178,8 @@
 	if s.w.chance(s.w.cfg.badRuns) {
 		how = EndFailed
 	}
-	if !s.stalls {
+	r.stalled = s.stalls
+	if !r.stalled {
 		s.w.after(r.length, func() { s.end(r, how) })
 	}
 	return StartAccepted
@@ -201,7 +203,11 @@
 	s.ended = slices.DeleteFunc(s.ended, func(e EndedRun) bool { return e.Number <= o.Observed })
 	result.Ended = slices.Clone(s.ended)
 	for _, r := range s.sorted() {
-		result.Active = append(result.Active, RunState{Run: r.ref, Progress: float64(s.w.now.Sub(r.started)) / float64(r.length)})
+		progress := float64(s.w.now.Sub(r.started)) / float64(r.length)
+		if r.stalled {
+			progress = 0
+		}
+		result.Active = append(result.Active, RunState{Run: r.ref, Progress: progress})
 	}
 	return result
 }
