feat(logexplainer): join the logs of VMs into the story of one job

Cause: a job's decisions are spread over its home and the owners of the servers that ran its tasks; on-call engineers have only their logs.

Ruled out: a tracing service, which would be one more thing to run.

--- /dev/null
+++ b/cmd/peppertrack/internal/cmd/explaincmd.go
@@ -0,0 +1,41 @@
+package cmd
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/peppertrack/peppertrack/internal/logexplainer"
+)
+
+func newExplainCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain JOB LOG...",
+		Short: "Tell the story of one job from the logs of VMs",
+		Long: `explain joins the lines of several VMs' logs that tell of one job, in the order
+of time, and names what is missing. A LOG of - is standard input.`,
+		Args: usageArgs(cobra.MinimumNArgs(2)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var s logexplainer.Story
+			for _, path := range args[1:] {
+				if err := readLog(cmd, &s, path, args[0]); err != nil {
+					return err
+				}
+			}
+			return s.Write(cmd.OutOrStdout())
+		},
+	}
+}
+
+func readLog(cmd *cobra.Command, s *logexplainer.Story, path, job string) (err error) {
+	if path == "-" {
+		return s.Read(cmd.InOrStdin(), job)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "opening the log")
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	return s.Read(f, job)
+}
--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -35,6 +35,7 @@
 		newConfigCmd(),
 		newTryCmd(),
 		newReportCmd(),
+		newExplainCmd(),
 		newVersionCmd(),
 	)
 	root.Long = `peppertrack submits jobs to entry VMs and drives them by profiles.
