fix(repeater): judge a server on probation by its newest run alone

Ruled out: the bound on the pace; the servers were rightly found slow before.

Change: on probation one run decides; two runs are enough for the first verdict, at 2.5 times the usual pace; suspensions are 1 s for slow servers, 3 s at most.

--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -81,7 +81,7 @@
 	// suspendFirst is the first pause after a server that failed what it
 	// started, and suspendLongest bounds its doubling.
 	suspendFirst   = 400 * time.Millisecond
-	suspendLongest = 6 * time.Second
+	suspendLongest = 3 * time.Second
 	// suspectFailures is the number of runs in a row that a server has to fail
 	// before it is suspended: one failure is usually the task's own fault.
 	suspectFailures = 2
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -258,16 +258,16 @@
 	if o.suspicion < suspectFailures {
 		return
 	}
-	m.suspend(o, cause)
+	m.suspend(o, cause, suspendFirst)
 }
 
 // suspend gives a server no work for a while, which doubles. After it the server
 // is on probation, with one run at a time, until one ends well.
-func (m *Machine) suspend(o *ownedServer, cause string) {
+func (m *Machine) suspend(o *ownedServer, cause string, first time.Duration) {
 	if m.now.Before(o.suspendedUntil) {
 		return // its runs were started before
 	}
-	o.suspendFor = min(max(2*o.suspendFor, suspendFirst), suspendLongest)
+	o.suspendFor = min(max(2*o.suspendFor, first), suspendLongest)
 	o.suspendedUntil = m.now.Add(o.suspendFor)
 	m.reportDirty = true
 	m.record("serverSuspended", "backend", o.ID, "cause", cause, "failures", o.suspicion, "pace", o.pace.mean, "runs", o.pace.runs, "for", o.suspendFor)
--- a/internal/repeater/pace.go
+++ b/internal/repeater/pace.go
@@ -11,11 +11,14 @@
 	paceWeight = 0.3
 	// judgedRuns is the number of runs until a server's pace says something:
 	// estimates are off by 40%.
-	judgedRuns = 3
+	judgedRuns = 2
 	// slowBound is how many times the usual pace a slow server takes: a task takes
 	// longer there than its objective allows, which is 1.6 times its work and a
 	// target more.
-	slowBound = 2.2
+	slowBound = 2.5
+	// slowSuspension is the first suspension of a slow server. Servers stay slow for
+	// seconds, and each run on probation there is probably late.
+	slowSuspension = time.Second
 	// longestPace bounds the pace of one run, so that one doesn't outweigh many.
 	longestPace = 12.0
 	// medianServers is the number of judged servers that make a usual pace.
@@ -31,7 +34,7 @@
 // add takes in a run that ended well.
 func (p *pace) add(elapsed, estimate time.Duration) {
 	ratio := min(float64(elapsed)/float64(max(estimate, time.Millisecond)), longestPace)
-	if p.runs == 0 {
+	if p.mean == 0 {
 		p.mean = ratio
 	}
 	p.mean += paceWeight * (ratio - p.mean)
@@ -68,9 +71,12 @@
 		o.trust()
 		return
 	}
+	if o.suspendFor > 0 {
+		o.pace = pace{runs: judgedRuns - 1} // on probation this run alone counts
+	}
 	o.pace.add(m.now.Sub(r.startedAt), r.msg.Estimate)
 	if usual := m.usualPace(); o.pace.slow(usual) {
-		m.suspend(o, "it is slow")
+		m.suspend(o, "it is slow", slowSuspension)
 		return
 	}
 	o.trust()
