--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -36,9 +36,10 @@
 }
 
 const (
-	// packingEfficiency is the part of the fleet's cores that tasks of half a
-	// server can use at a time; measured in package packer's load test.
-	packingEfficiency = 0.85
+	// packingEfficiency is the part of the fleet's cores that queued tasks of half a
+	// server get at a time, with estimates that are off and queues at each owner;
+	// docs/MEASUREMENTS.md has the days on which it was measured.
+	packingEfficiency = 0.6
 	// shortestRetry bounds RetryAfter from below, so that a caller doesn't come
 	// back before anything can have changed: the period of load reports.
 	shortestRetry = 100 * time.Millisecond
