refactor(repeater,router,platform): drop what no decision uses

Cause: read as a newcomer would: pools, limits, timeouts and labels were decoded and used by nothing; a plan left its view on the job; an argument was unused.

Change: these are gone; plan returns its view.

--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
@@ -142,16 +143,7 @@
 func (s *Server) Close() error {
 	s.cancel()
 	err := s.linker.Close()
-	return firstError(err, s.group.Wait())
-}
-
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return errors.CombineErrors(err, s.group.Wait())
 }
 
 // post hands an event to the state machine. It waits while too many are ahead,
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -28,8 +28,8 @@
 		return
 	}
 	j := m.newJob(e)
-	plan := m.plan(j, indexes(len(j.tasks)))
-	fleet := m.fleetFor(j, plan)
+	plan, view := m.plan(j, indexes(len(j.tasks)))
+	fleet := view.sumUp(j, plan)
 	decision := admitter.Decide(fleet, admitter.Job{Estimate: j.Estimate, Slack: j.slack()})
 	if !decision.Admit {
 		m.refuse(e, Refused{Overloaded: true, RetryAfter: decision.RetryAfter, Reason: decision.Reason})
@@ -249,7 +249,12 @@
 		m.finish(j, Lost{Cause: "a task was started too often"})
 		return
 	}
-	plan := m.plan(j, []int{index})
+	m.place(j, index)
+}
+
+// place sends one task to the owner that is best now.
+func (m *Machine) place(j *openJob, index int) {
+	plan, _ := m.plan(j, []int{index})
 	m.send(j, index, plan[0])
 }
 
@@ -426,7 +431,7 @@
 			case t.state == taskOrphaned && !m.now.Before(t.restartAt):
 				m.restart(j, i, 1)
 			case t.state == taskWaiting && !m.now.Before(t.waitUntil):
-				m.send(j, i, m.plan(j, []int{i})[0])
+				m.place(j, i)
 			}
 		}
 	}
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -56,7 +56,6 @@
 	open      int // tasks that have not ended
 	run       identifier.JobRun
 	started   bool
-	planned   *fleet // that the latest plan was made from
 }
 
 func (j *openJob) ref(index int) identifier.RunRef {
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -17,10 +17,13 @@
 // Bounds are the times that backend servers and callers keep to.
 type Bounds struct {
 	LongestLease time.Duration // a server shortens longer leases to this
-	StopTimeout  time.Duration // a stop takes at most this long
 	ResendDelay  time.Duration // a caller sends a job again at the earliest after this
 }
 
+// Kept reports whether runs of a lost job have ended by the time that its caller
+// sends it again.
+func (b Bounds) Kept() bool { return b.ResendDelay >= orphanBound }
+
 const (
 	// silenceBound is how long a peer may be silent until its runs are stopped
 	// and its servers taken over: four load reports, and well under the time
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -91,8 +91,9 @@
 }
 
 // plan chooses a target for each of a job's tasks: a server with room, or else
-// the owner with the shortest queue for its capacity.
-func (m *Machine) plan(j *openJob, tasks []int) []target {
+// the owner with the shortest queue for its capacity. It also returns the view
+// that it chose by.
+func (m *Machine) plan(j *openJob, tasks []int) ([]target, *fleet) {
 	f := m.view(j)
 	demand := packer.Demand{Cores: j.Cores, Memory: j.Memory}
 	targets := make([]target, len(tasks))
@@ -106,8 +107,7 @@
 		}
 		targets[n] = f.shortestQueue(j, avoid)
 	}
-	j.planned = f
-	return targets
+	return targets, f
 }
 
 // shortestQueue adds a task to the owner that should start it first.
@@ -132,16 +132,16 @@
 
 func (b *backlog) perCapacity() float64 { return float64(b.work) / float64(max(b.capacity, 1)) }
 
-// fleetFor sums up a plan for the decision on admission.
-func (m *Machine) fleetFor(j *openJob, plan []target) admitter.Fleet {
-	f := admitter.Fleet{Capacity: j.planned.capacity, Ahead: j.planned.ahead}
+// sumUp tells the decision on admission what a plan has found.
+func (f *fleet) sumUp(j *openJob, plan []target) admitter.Fleet {
+	sum := admitter.Fleet{Capacity: f.capacity, Ahead: f.ahead}
 	for _, t := range plan {
 		if !t.fits {
-			f.Unplaced += work(j.Cores, j.Estimate)
+			sum.Unplaced += work(j.Cores, j.Estimate)
 		}
 		if !t.found {
-			f.Capacity = 0
+			sum.Capacity = 0 // no server can hold the task
 		}
 	}
-	return f
+	return sum
 }
--- a/internal/repeater/server.go
+++ b/internal/repeater/server.go
@@ -10,7 +10,6 @@
 	Domain     identifier.FailureDomain
 	Cores      identifier.Millicores
 	Memory     identifier.Mebibytes
-	Kind       string // servers of one kind take alike long for the same work
-	Leaving    bool   // takes no new work
+	Leaving    bool // takes no new work
 	Generation identifier.Generation
 }
--- a/internal/repeater/world_test.go
+++ b/internal/repeater/world_test.go
@@ -135,7 +135,7 @@
 }
 
 func (w *world) table() *router.Table {
-	return &router.Table{Version: 1, Routes: []router.Route{worldRoute()}, Pools: []router.Pool{{ID: worldPool, Guards: true}}}
+	return &router.Table{Version: 1, Routes: []router.Route{worldRoute()}}
 }
 
 func worldRoute() router.Route {
--- a/internal/repeater/worldvm_test.go
+++ b/internal/repeater/worldvm_test.go
@@ -32,7 +32,7 @@
 		Incarnation: identifier.Incarnation(w.now.UnixMilli()),
 	}
 	vm.machine = New(w.now, Options{Self: vm.member, Domain: w.domain(vm.index), Weight: 400, Bounds: Bounds{
-		LongestLease: worldLease, StopTimeout: worldStopTime, ResendDelay: worldResend,
+		LongestLease: worldLease, ResendDelay: worldResend,
 	}})
 	vm.lastTurn = w.now
 	vm.requests = make(map[RequestID]*worldAttempt)
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -21,34 +21,19 @@
 	Host        string
 	Prefix      string // of the path; the longest one that fits counts
 	Pool        identifier.PoolID
-	Timeout     time.Duration // 0: none
-	Priority    int           // 0 goes first
-	MaxAttempts int           // runs of a task that may fail
-	Slack       float64       // the objective is this many times the job's work, and Target more
+	Priority    int     // 0 goes first
+	MaxAttempts int     // runs of a task that may fail
+	Slack       float64 // the objective is this many times the job's work, and Target more
 	Target      time.Duration
 	NeedsAdvice bool // a service of the platform names the servers that may run its tasks
 }
 
-// Pool is a group of backend servers that run the same kinds of work.
-type Pool struct {
-	ID     identifier.PoolID
-	Guards bool // its servers refuse what exceeds their capacity
-}
-
-// Limits bound what callers may send.
-type Limits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Table is one version of the routes.
 type Table struct {
 	Version Version
 	Routes  []Route
-	Pools   []Pool
-	Limits  Limits
+	// MaxBody bounds the body of a request; 0: not said.
+	MaxBody identifier.Bytes
 }
 
 // Match returns the route with the longest prefix of the path, and the rest of
@@ -68,16 +53,6 @@
 	return route, strings.TrimPrefix(path, route.Prefix), ok
 }
 
-// Pool returns the pool of a name.
-func (t *Table) Pool(id identifier.PoolID) (p Pool, ok bool) {
-	for _, p := range t.Pools {
-		if p.ID == id {
-			return p, true
-		}
-	}
-	return Pool{}, false
-}
-
 // Encode returns the form in which VMs hand the table to each other.
 func (t *Table) Encode() (data []byte, err error) {
 	defer func() { err = errors.Wrapf(err, "encoding routes of version %d", t.Version) }()
