fix(storefollower): keep servers that lapsed in an outage until they can be back

Cause: the time of grace after an outage began after the items had been read again, so servers whose entries lapsed meanwhile were dropped at once.

Ruled out: watches, which do keep what is deleted in the time of grace.

Change: the outage's end is noted before what was read is taken over; an item that is back is no longer held as missing.

Before: TestOutage failed: it knew c1 instead of a1 b1 c1. After: it passes.

--- /dev/null
+++ b/internal/packer/packer_test.go
@@ -0,0 +1,48 @@
+package packer
+
+import (
+	"os"
+	"testing"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+)
+
+// TestPick holds the choices of testdata/picks.yaml.
+func TestPick(t *testing.T) {
+	data, err := os.ReadFile("testdata/picks.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []struct {
+		Name    string `yaml:"name"`
+		Servers []struct {
+			ID       identifier.BackendID  `yaml:"id"`
+			Free     identifier.Millicores `yaml:"free"`
+			Mem      identifier.Mebibytes  `yaml:"mem"`
+			Remote   bool                  `yaml:"remote"`
+			Slowness float64               `yaml:"slowness"`
+		} `yaml:"servers"`
+		Avoid  []identifier.BackendID `yaml:"avoid"`
+		Cores  identifier.Millicores  `yaml:"cores"`
+		Memory identifier.Mebibytes   `yaml:"memory"`
+		Want   identifier.BackendID   `yaml:"want"`
+	}
+	if err := yaml.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		var servers []Server
+		for _, s := range c.Servers {
+			servers = append(servers, Server{ID: s.ID, Capacity: 32000, Free: s.Free, FreeMem: s.Mem, Remote: s.Remote, Slowness: max(s.Slowness, 1)})
+		}
+		var got identifier.BackendID
+		if i := Pick(servers, Demand{Cores: c.Cores, Memory: c.Memory}, c.Avoid); i >= 0 {
+			got = servers[i].ID
+		}
+		if got != c.Want {
+			t.Errorf("%s: %q instead of %q", c.Name, got, c.Want)
+		}
+	}
+}
--- a/internal/storefollower/follower.go
+++ b/internal/storefollower/follower.go
@@ -70,7 +70,6 @@
 			f.failed(ctx, err)
 			continue
 		}
-		f.works()
 		for ctx.Err() == nil {
 			err := f.watch(ctx)
 			if errors.Is(err, ErrForgotten) {
@@ -126,6 +125,7 @@
 	if f.known && at < f.at {
 		return errors.Newf("revision %d is before %d", at, f.at)
 	}
+	f.works() // before the merge, which depends on when the outage ended
 	f.merge(next, at)
 	return nil
 }
@@ -140,7 +140,9 @@
 // for a while.
 func (f *Follower) merge(next map[string]Item, at Revision) {
 	for key, item := range f.items {
-		if _, ok := next[key]; !ok && time.Now().Before(f.graceTill) {
+		if _, ok := next[key]; ok {
+			delete(f.missing, key)
+		} else if time.Now().Before(f.graceTill) {
 			f.missing[key] = f.graceTill
 			next[key] = item
 		}
