feat(repeater): log what a refusal was decided from

Ruled out: looking at the jobs admitted around it; their view may be another VM's.

Change: lines of admission and refusal carry wait, slack, capacity, work ahead and the age of the oldest report. No decision changes.

--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -32,14 +32,17 @@
 	fleet := view.sumUp(j, plan)
 	decision := admitter.Decide(fleet, admitter.Job{Estimate: j.Estimate, Slack: j.slack()})
 	if !decision.Admit {
-		m.refuse(e, Refused{Overloaded: true, RetryAfter: decision.RetryAfter, Reason: decision.Reason})
+		m.refuse(e, Refused{Overloaded: true, RetryAfter: decision.RetryAfter, Reason: decision.Reason},
+			"wait", decision.Wait, "slack", j.slack(), "capacity", fleet.Capacity, "ahead", fleet.Ahead,
+			"unplaced", fleet.Unplaced, "oldestReport", m.oldestReport())
 		return
 	}
 	m.jobs[j.ID] = j
 	m.byRequest[e.Request] = j.ID
 	m.counters.Admitted++
 	m.record("jobAdmitted", "job", j.ID, "route", j.Route.Name, "version", j.Version, "tasks", j.Tasks, "cores", j.Cores,
-		"estimate", j.Estimate, "budget", j.Budget, "wait", decision.Wait, "slack", j.slack(), "capacity", fleet.Capacity, "ahead", fleet.Ahead)
+		"estimate", j.Estimate, "budget", j.Budget, "wait", decision.Wait, "slack", j.slack(), "capacity", fleet.Capacity, "ahead", fleet.Ahead,
+		"oldestReport", m.oldestReport())
 	for i, t := range plan {
 		m.send(j, i, t)
 	}
@@ -58,10 +61,11 @@
 	return Refused{}, false
 }
 
-func (m *Machine) refuse(e JobSubmitted, r Refused) {
+// refuse answers that a job is not taken. The fields are what decided it.
+func (m *Machine) refuse(e JobSubmitted, r Refused, fields ...any) {
 	m.counters.Refused++
-	m.record("jobRefused", "job", e.Job.ID, "route", e.Job.Route.Name, "version", e.Job.Version, "tasks", e.Job.Tasks,
-		"estimate", e.Job.Estimate, "reason", r.Reason, "retryAfter", r.RetryAfter)
+	m.record("jobRefused", append([]any{"job", e.Job.ID, "route", e.Job.Route.Name, "version", e.Job.Version, "tasks", e.Job.Tasks,
+		"estimate", e.Job.Estimate, "reason", r.Reason, "retryAfter", r.RetryAfter}, fields...)...)
 	m.emit(Reply{Request: e.Request, Outcome: r})
 }
 
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -44,6 +44,16 @@
 	return p.linked && p.reported && !p.lost && m.now.Sub(p.heard) <= silenceBound
 }
 
+// oldestReport is the age of the oldest load report that a view is made from.
+func (m *Machine) oldestReport() (age time.Duration) {
+	for _, p := range m.peers {
+		if m.alive(p) {
+			age = max(age, m.now.Sub(p.heard))
+		}
+	}
+	return age
+}
+
 func (m *Machine) anyPeerAlive() bool {
 	for _, p := range m.peers {
 		if m.alive(p) && !p.draining {
