--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -64,8 +64,10 @@
 // refuse answers that a job is not taken. The fields are what decided it.
 func (m *Machine) refuse(e JobSubmitted, r Refused, fields ...any) {
 	m.counters.Refused++
-	m.record("jobRefused", append([]any{"job", e.Job.ID, "route", e.Job.Route.Name, "version", e.Job.Version, "tasks", e.Job.Tasks,
-		"estimate", e.Job.Estimate, "reason", r.Reason, "retryAfter", r.RetryAfter}, fields...)...)
+	m.record("jobRefused", append([]any{
+		"job", e.Job.ID, "route", e.Job.Route.Name, "version", e.Job.Version, "tasks", e.Job.Tasks,
+		"estimate", e.Job.Estimate, "reason", r.Reason, "retryAfter", r.RetryAfter,
+	}, fields...)...)
 	m.emit(Reply{Request: e.Request, Outcome: r})
 }
 
