--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -113,7 +113,6 @@
 		return
 	}
 	t.state, t.owner, t.intended, t.backend = taskSent, to.owner, to.backend, ""
-	j.started = true
 	if p := m.peers[to.owner.VM]; p != nil && p.member == to.owner {
 		p.noteSent(j.Job, to)
 	}
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -55,7 +55,6 @@
 	tasks     []task
 	open      int // tasks that have not ended
 	run       identifier.JobRun
-	started   bool
 }
 
 func (j *openJob) ref(index int) identifier.RunRef {
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -1,6 +1,7 @@
 package repeater
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,7 +76,7 @@
 			vms = append(vms, assigner.VM{ID: p.member.VM, Domain: p.domain, Weight: p.weight})
 		}
 	}
-	if !m.assignment.stale && equalVMs(vms, m.assignment.vms) {
+	if !m.assignment.stale && slices.Equal(vms, m.assignment.vms) {
 		return
 	}
 	m.assignment = assignmentInput{vms: vms}
@@ -87,18 +88,6 @@
 	}
 }
 
-func equalVMs(a, b []assigner.VM) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // mayTake reports whether this VM may take a server over now.
 func (m *Machine) mayTake(id identifier.BackendID) bool {
 	if m.now.Before(m.yields[id].until) || m.now.Sub(m.started) < startupGrace || m.now.Before(m.refuseUntil) {
@@ -340,9 +329,7 @@
 		return
 	}
 	if e, ok := m.findEnding(c); ok {
-		e.home, e.msg.Run = from, c.Run
-		m.ended[c.Run] = e
-		m.tell(from, e.msg)
+		m.tellEnding(from, c, e)
 		return
 	}
 	if at, ok := m.moved[c.Run]; ok && m.owned[at.backend] == nil {
@@ -375,6 +362,13 @@
 	m.tell(from, e.msg)
 }
 
+// tellEnding tells a home how a run that it claims has ended.
+func (m *Machine) tellEnding(home identifier.Member, c peermessenger.ClaimedRun, e endedRun) {
+	e.home, e.msg.Run = home, c.Run
+	m.ended[c.Run] = e
+	m.tell(home, e.msg)
+}
+
 // findRun returns a claimed run: on the server that its home names, or on any
 // when it names none.
 func (m *Machine) findRun(c peermessenger.ClaimedRun) (*ownedServer, *run) {
@@ -411,9 +405,7 @@
 		if o, r := m.findRun(c.run); r != nil {
 			m.adopt(o, r, c.from, c.run)
 		} else if e, ok := m.findEnding(c.run); ok {
-			e.home, e.msg.Run = c.from, c.run.Run
-			m.ended[c.run.Run] = e
-			m.tell(c.from, e.msg)
+			m.tellEnding(c.from, c.run, e)
 		} else {
 			m.disown(c.from, c.run)
 		}
