feat(repeater): report often to a neighborhood alone, and bear lost calls

Ruled out: longer report intervals for all, which delay takeovers. A call that is answered shows that the server lives; a run's pace isn't judged after a call without an answer; a run that should have ended is looked at again; stops are repeated after 80 ms; starts wait 100 ms.

--- a/internal/jobserver/options.go
+++ b/internal/jobserver/options.go
@@ -30,8 +30,8 @@
 	// has been paused: several ticks, and under half the time that peers wait.
 	pauseBound = 180 * time.Millisecond
 	// startTimeout bounds an order to start: a link's round trip between failure
-	// domains, many times.
-	startTimeout = 200 * time.Millisecond
+	// domains, many times, and no more than a short job can wait.
+	startTimeout = 100 * time.Millisecond
 	// stopTimeout bounds an order to stop: its own work of up to 50 ms besides.
 	stopTimeout = 250 * time.Millisecond
 	// lookSlack is added to the wait of a look.
--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -117,6 +117,8 @@
 	Queued        QueuedWork   `cbor:"5,keyasint"`
 	RoutesVersion uint64       `cbor:"6,keyasint"`
 	ServersSeen   uint64       `cbor:"7,keyasint"` // revision of the list of backend servers
+
+	Next time.Duration `cbor:"8,keyasint"` // until the next report, at the latest
 }
 
 // DirectoryCopy hands the sender's knowledge of routes and backend servers to a
--- a/internal/repeater/faults_test.go
+++ b/internal/repeater/faults_test.go
@@ -38,13 +38,23 @@
 
 var verbose = flag.Bool("verboseHistories", false, "the trace of a history holds all decisions")
 
-func playFaults(seed uint64) *world {
+func playFaults(seed uint64) *world { return playWith(seed, noDefect) }
+
+func playWith(seed uint64, d defect) *world {
 	const length = 14 * time.Second
 	w := newWorld(seed, worldConfig{
 		vms: 3 + int(seed%4), servers: 6 + int(seed%5), jobs: 120, faults: 3 + int(seed%9),
 		lateOrders: 0.01 * float64(seed%4), lostAnswers: 0.01 * float64(seed%3), badRuns: 0.01,
+		lateLooks: 0.02 * float64(seed%3), neighborhood: 2 * int(seed%2), defect: d,
 	})
 	w.verbose = *verbose
+	switch d {
+	case noExpiry:
+		w.cfg.lateOrders = 0.15 // what comes late is what the expiry is there for
+	case keepsUnclaimed:
+		w.cfg.longest = 4 * time.Second // a run has to outlast its home's loss and the next attempt
+	default:
+	}
 	w.submitJobs(length)
 	w.drawFaults(length)
 	w.run(length + 6*time.Second)
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -51,7 +51,7 @@
 // refusal returns why a job can't be taken whatever the load.
 func (m *Machine) refusal(j Job) (Refused, bool) {
 	switch {
-	case m.now.Before(m.refuseUntil):
+	case m.now.Before(m.refuseUntil) && !m.opts.defects.noQuarantine:
 		return Refused{RetryAfter: wakeQuarantine, Reason: "this VM was paused, and the request may be old"}, true
 	case len(m.jobs) >= maxOpenJobs:
 		return Refused{Overloaded: true, RetryAfter: time.Second, Reason: "too many open jobs"}, true
@@ -112,7 +112,8 @@
 		t.waitUntil = m.now.Add(retryUnreachable)
 		return
 	}
-	t.state, t.owner, t.intended, t.backend = taskSent, to.owner, to.backend, ""
+	t.state, t.owner, t.intended, t.backend, t.sentAt = taskSent, to.owner, to.backend, "", m.now
+	m.share(to.owner)
 	if p := m.peers[to.owner.VM]; p != nil && p.member == to.owner {
 		p.noteSent(j.Job, to)
 	}
@@ -349,8 +350,9 @@
 }
 
 // orphanTasks marks the tasks whose owner can't be relied on any more; backend
-// limits that to one of its servers. Their runs may go on for orphanBound after
-// the owner was last heard.
+// limits that to one of its servers. The owner may have heard this VM for a report's
+// interval after it was last heard itself, and their runs may go on for orphanBound
+// after that.
 func (m *Machine) orphanTasks(owner identifier.Member, backend identifier.BackendID, heard time.Time) {
 	var cancelled []identifier.RunRef
 	for _, j := range m.sortedJobs() {
@@ -365,7 +367,10 @@
 			}
 			m.settle(j, t)
 			t.state = taskOrphaned
-			t.restartAt = heard.Add(orphanBound)
+			t.restartAt = later(heard, t.sentAt).Add(reportInterval + orphanBound)
+			if m.opts.defects.orphansAtOnce {
+				t.restartAt = m.now
+			}
 			if backend == "" {
 				cancelled = append(cancelled, j.ref(i))
 			}
@@ -381,6 +386,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mayBeClaimed reports whether all orphaned tasks of a job were placed on known
 // servers, where a new owner may still keep their runs.
 func (m *Machine) mayBeClaimed(j *openJob) bool {
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -41,6 +41,7 @@
 	intended  identifier.BackendID // the server that seemed to have room, when sent
 	backend   identifier.BackendID // the server that has started it, if one has
 	avoid     []identifier.BackendID
+	sentAt    time.Time // to owner
 	restartAt time.Time // when orphaned
 	waitUntil time.Time // when waiting: not before
 }
--- a/internal/repeater/look.go
+++ b/internal/repeater/look.go
@@ -19,7 +19,8 @@
 func (m *Machine) look(o *ownedServer) {
 	m.counters.Looks++
 	id := m.newOrder(order{server: o.ID})
-	o.looking = id
+	again := o.looking != 0
+	o.looking, o.lookedAt = id, m.now
 	l := Look{Order: id, Server: o.Server, Token: o.token, Observed: o.observed}
 	switch o.phase {
 	case phaseReady, phaseReleasing:
@@ -28,7 +29,7 @@
 		l.Wait = clearingLookWait
 	case phaseTaking:
 	}
-	if len(o.claims) > 0 || len(o.runs) == 0 || !o.clockKnown {
+	if len(o.claims) > 0 || len(o.runs) == 0 || !o.clockKnown || again {
 		l.Wait = 0
 	}
 	if o.silent > 0 {
@@ -40,6 +41,31 @@
 	m.emit(l)
 }
 
+const (
+	// overdueLook is how long a look may wait for an end until a run that should
+	// have ended makes this VM look once more: the answer may be lost.
+	overdueLook = 100 * time.Millisecond
+	// overdueFactor and overdueSlack say when a run should have ended: estimates are
+	// off by 40%, and starts and answers take a while.
+	overdueFactor = 1.5
+	overdueSlack  = 40 * time.Millisecond
+)
+
+// overdue reports whether the end of a run should have been seen by now. It
+// answers the load of days on which calls get no answer: what an unseen end
+// leaves free is lost for as long as the look is waited for.
+func (o *ownedServer) overdue(now time.Time) bool {
+	if now.Sub(o.lookedAt) < overdueLook || o.phase != phaseReady {
+		return false
+	}
+	for _, r := range o.runs {
+		if r.state == runRunning && now.Sub(r.startedAt) > time.Duration(overdueFactor*float64(r.msg.Estimate))+overdueSlack {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsUnwanted reports whether a run is there that has to end, and may not. The
 // server's lease is not extended then, so that it ends by itself.
 func (o *ownedServer) holdsUnwanted(now time.Time) bool {
@@ -79,11 +105,23 @@
 	}
 }
 
+// heardFrom records that a server has answered a call that was made after the
+// last one without an answer.
+func (m *Machine) heardFrom(o *ownedServer) {
+	if o.silent == 0 {
+		return
+	}
+	m.record("serverAnswers", "backend", o.ID, "silent", o.silent)
+	o.silent = 0
+	m.reportDirty = true
+}
+
 func (m *Machine) lookFailed(o *ownedServer) {
 	if o.silent == 0 {
 		m.record("serverSilent", "backend", o.ID, "runs", len(o.runs), "clockAge", m.now.Sub(o.clockAt))
 	}
 	o.silent++
+	o.missedAt = m.now
 	o.nextLook = m.now
 	if o.silent > 1 {
 		o.nextLook = m.now.Add(retryUnreachable)
@@ -93,11 +131,8 @@
 
 // seeRuns takes in what a server says of its runs.
 func (m *Machine) seeRuns(o *ownedServer, ord order, e LookAnswered) {
-	if o.silent > 0 {
-		m.record("serverAnswers", "backend", o.ID, "silent", o.silent)
-		m.reportDirty = true
-	}
-	o.silent, o.confirmed = 0, true
+	m.heardFrom(o)
+	o.confirmed = true
 	m.noteClock(o, e.Clock)
 	for _, end := range e.Result.Ended {
 		m.seeEnd(o, end)
@@ -229,7 +264,14 @@
 		o := m.owned[id]
 		m.tickRuns(o)
 		m.advancePhase(o)
-		if m.owned[id] != o || o.looking != 0 || m.now.Before(o.nextLook) {
+		if m.owned[id] != o {
+			continue
+		}
+		if o.looking != 0 && o.overdue(m.now) {
+			m.look(o)
+			continue
+		}
+		if o.looking != 0 || m.now.Before(o.nextLook) {
 			continue
 		}
 		idle := m.now.Sub(o.clockAt) > idleLook
@@ -245,7 +287,7 @@
 		switch {
 		case lapsed && r.state != runStarting:
 			m.endRun(o, r, peermessenger.RunStopped, "its lease has lapsed on a silent server")
-		case r.state == runStopping && r.stopOrder == 0 && r.stoppedAt.IsZero() && !m.now.Before(r.nextStop):
+		case r.state == runStopping && r.stoppedAt.IsZero() && (r.stopOrder != 0 || !m.now.Before(r.nextStop)):
 			m.stop(o, r, r.stopCause)
 		}
 	}
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -149,6 +149,7 @@
 }
 
 func (m *Machine) tick() {
+	m.findShared()
 	m.findLostPeers()
 	m.assign()
 	m.tickOwned()
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -12,6 +12,28 @@
 	Domain identifier.FailureDomain
 	Weight int // share of the backend servers, in thousandths of a core of this VM
 	Bounds Bounds
+	// Neighborhood is the largest number of VMs that all report to each other
+	// often; 0 takes the default.
+	Neighborhood int
+
+	defects defects
+}
+
+func (o Options) neighborhood() int {
+	if o.Neighborhood > 0 {
+		return o.Neighborhood
+	}
+	return defaultNeighborhood
+}
+
+// defects switch off protections against two runs of a task at a time, for tests
+// that show that the histories find what is missing.
+type defects struct {
+	orphansAtOnce  bool // a home starts orphans again without waiting for their end
+	keepsUnclaimed bool // a new owner lets runs go on that no home has claimed
+	noQuarantine   bool // requests that waited through a pause are taken
+	neverFenced    bool // an owner goes on after a server has refused its token
+	extendsUnheard bool // leases are extended in spite of stops without an answer
 }
 
 // Bounds are the times that backend servers and callers keep to.
@@ -36,7 +58,7 @@
 	reportSpacing = 30 * time.Millisecond
 	// peersPerInterval is the number of peers beyond which load reports are sent
 	// less often, so that their cost stays bounded on a small VM.
-	peersPerInterval = 12
+	peersPerInterval = 6
 
 	// leaseLength is the lease that an order asks for. With silenceBound it stays
 	// under the time after which a caller sends a job again, and it is over twice
@@ -57,7 +79,7 @@
 	claimWindow = 150 * time.Millisecond
 	// tickBound is the longest time between two ticks.
 	tickBound = 50 * time.Millisecond
-	// orphanBound is how long after an owner was last heard its unclaimed runs
+	// orphanBound is how long after an owner last heard a home its unclaimed runs
 	// may still go on: it starts and extends them until it misses their home, and
 	// then their lease lapses.
 	orphanBound = silenceBound + tickBound + leaseLength*(100+driftPercent)/100 + 2*orderSlack
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -40,8 +40,10 @@
 
 	runs     map[identifier.RunRef]*run
 	looking  OrderID // 0: no look is open
+	lookedAt time.Time
 	nextLook time.Time
-	silent   int // looks in a row without an answer
+	silent   int       // calls without an answer since the last one that was answered
+	missedAt time.Time // when a call last got no answer
 
 	pace           pace
 	suspicion      int // failures in a row
@@ -79,7 +81,8 @@
 	generation identifier.Generation // of its server; 0: not known
 	stopCause  string
 	stopSince  time.Time
-	stopOrder  OrderID   // open
+	stopOrder  OrderID // the latest, while it is open
+	stopSentAt time.Time
 	stoppedAt  time.Time // the stop was accepted
 	nextStop   time.Time
 	progress   float64
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -80,6 +80,7 @@
 			r.state = runUnknown
 		}
 		o.silent++
+		o.missedAt = m.now
 		m.stop(o, r, "the start got no answer")
 		return
 	}
@@ -170,9 +171,10 @@
 
 // stop orders a server to end a run, or never to start it.
 func (m *Machine) stop(o *ownedServer, r *run, cause string) {
-	if r.state == runStopping && (r.stopOrder != 0 || !r.stoppedAt.IsZero()) {
+	if r.state == runStopping && (!r.stoppedAt.IsZero() || r.stopOrder != 0 && m.now.Sub(r.stopSentAt) < stopRepeat) {
 		return
 	}
+	r.stopSentAt = m.now
 	if r.state != runStopping {
 		m.counters.Stops++
 		m.record("runStopped", "job", r.ref.Task.Submission, "task", r.ref.Task.Index, "run", r.ref.Number, "backend", o.ID, "cause", cause, "age", m.now.Sub(r.since))
@@ -182,8 +184,13 @@
 	m.emit(StopRun{Order: r.stopOrder, Server: o.Server, Token: o.token, Run: r.ref})
 }
 
-// stopRetry is the pause before a stop that got no answer is sent again.
-const stopRetry = 100 * time.Millisecond
+const (
+	// stopRepeat is how long a stop waits for its answer until it is sent once more:
+	// longer than a server takes to stop a run.
+	stopRepeat = 80 * time.Millisecond
+	// stopRetry is the pause before a stop that got no answer in time is sent again.
+	stopRetry = 100 * time.Millisecond
+)
 
 func (m *Machine) stopAnswered(e StopAnswered) {
 	ord, o := m.takeOrder(e.Order)
@@ -195,9 +202,14 @@
 	if r == nil {
 		return
 	}
-	r.stopOrder = 0
+	if r.stopOrder == e.Order {
+		r.stopOrder = 0
+	}
 	switch e.Result {
 	case StopAccepted:
+		if !ord.issued.Before(o.missedAt) {
+			m.heardFrom(o) // the call that got no answer was lost alone
+		}
 		r.stoppedAt = m.now
 		if o.looking == 0 {
 			m.look(o)
--- a/internal/repeater/pace.go
+++ b/internal/repeater/pace.go
@@ -68,7 +68,9 @@
 // endedWell takes in a run that a server has done: the server is trusted again,
 // or set aside because it is slow.
 func (m *Machine) endedWell(o *ownedServer, r *run) {
-	if r.startedAt.IsZero() || r.msg.Estimate <= 0 {
+	if r.startedAt.IsZero() || r.msg.Estimate <= 0 || !o.missedAt.Before(r.startedAt) {
+		// Nothing tells how long it took: after a call without an answer, ends are
+		// seen late.
 		o.trust()
 		return
 	}
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -12,11 +12,20 @@
 
 // peer is what is known of another VM's process.
 type peer struct {
-	member   identifier.Member
-	domain   identifier.FailureDomain
-	linked   bool
-	heard    time.Time
-	lost     bool // silent for silenceBound
+	member identifier.Member
+	domain identifier.FailureDomain
+	linked bool
+	heard  time.Time
+	lost   bool // silent for too long
+	near   bool // in the neighborhood of this VM
+
+	announced    time.Duration // until its next load report
+	reportAt     time.Time     // a load report to it is due then, or earlier
+	told         time.Duration // what was announced to it
+	sharing      bool          // it has tasks in common with this VM
+	sharingSince time.Time
+	sharedAt     time.Time // when it last had some
+
 	weight   int
 	draining bool
 	reported bool
@@ -42,7 +51,7 @@
 
 // alive reports whether a peer can be relied on.
 func (m *Machine) alive(p *peer) bool {
-	return p.linked && p.reported && !p.lost && m.now.Sub(p.heard) <= silenceBound
+	return p.linked && p.reported && !p.lost && !m.silent(p)
 }
 
 // oldestReport is the age of the oldest load report that a view is made from.
@@ -74,6 +83,11 @@
 	return m.peerOrder
 }
 
+func (m *Machine) peersChanged() {
+	m.peerOrder = nil // those who walk the old order keep it
+	m.findNeighbors()
+}
+
 // peerFor returns the record of a peer's process, or nil when a later process
 // of that VM is known.
 func (m *Machine) peerFor(member identifier.Member, domain identifier.FailureDomain) *peer {
@@ -88,7 +102,7 @@
 	if p == nil {
 		p = &peer{member: member, domain: domain, heard: m.now, pending: make(map[identifier.BackendID]identifier.Millicores)}
 		m.peers[member.VM] = p
-		m.peerOrder = nil
+		m.peersChanged()
 	}
 	return p
 }
@@ -115,13 +129,12 @@
 // findLostPeers notices peers that have been silent for too long.
 func (m *Machine) findLostPeers() {
 	for _, p := range m.sortedPeers() {
-		silence := m.now.Sub(p.heard)
-		if !p.lost && silence > silenceBound {
+		if !p.lost && m.silent(p) {
 			m.losePeer(p, "silent")
 		}
-		if p.lost && silence > forgetPeerAfter {
+		if p.lost && m.now.Sub(p.heard) > forgetPeerAfter {
 			delete(m.peers, p.member.VM)
-			m.peerOrder = nil
+			m.peersChanged()
 		}
 	}
 }
@@ -138,7 +151,7 @@
 	m.orphanTasks(p.member, "", p.heard)
 	m.stopRunsOf(p.member)
 	p.view, p.viewed = nil, nil
-	p.reported = false
+	p.reported, p.announced, p.sharing = false, 0, false
 }
 
 // receive handles a message of a peer. Each one shows that the peer lives.
@@ -176,6 +189,7 @@
 	}
 	first := !p.reported
 	p.reported, p.sequence, p.weight, p.draining = true, r.Sequence, r.Weight, r.Draining
+	p.announced = r.Next
 	p.queued, p.extra, p.routes, p.servers = r.Queued, 0, r.RoutesVersion, r.ServersSeen
 	previous := p.view
 	p.view = make(map[identifier.BackendID]serverView, len(r.Servers))
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -22,17 +22,18 @@
 	owners   []identifier.Member // of the same indexes
 	backlog  map[identifier.VMID]*backlog
 	capacity identifier.Millicores
-	ahead    int64
 }
 
 // backlog is the load of one owner.
 type backlog struct {
 	owner    identifier.Member
 	capacity identifier.Millicores
-	work     int64
+	ahead    int64 // before the job
+	work     int64 // with the tasks of the job that were added to it
 }
 
-// view collects the servers of a pool that take work, as far as is known here.
+// view collects the servers of a pool that take work in the neighborhood of this
+// VM, as far as is known here.
 func (m *Machine) view(j *openJob) *fleet {
 	f := &fleet{backlog: make(map[identifier.VMID]*backlog)}
 	for _, id := range m.ownedIDs() {
@@ -47,10 +48,17 @@
 		f.add(m.opts.Self, o.Server, free, mem, false)
 	}
 	if b := f.backlog[m.opts.Self.VM]; b != nil {
-		b.work = sumUpTo(m.queuedWork(), j.Route.Priority)
+		b.ahead = sumUpTo(m.queuedWork(), j.Route.Priority)
+		b.work = b.ahead
 	}
+	m.viewPeers(f, j, true)
+	return f
+}
+
+// viewPeers adds the servers of peers in the neighborhood, or of those beyond it.
+func (m *Machine) viewPeers(f *fleet, j *openJob, near bool) {
 	for _, p := range m.sortedPeers() {
-		if !m.alive(p) || p.draining {
+		if p.near != near || !m.alive(p) || p.draining {
 			continue
 		}
 		for _, id := range p.viewed {
@@ -62,13 +70,10 @@
 			f.add(p.member, s, v.free, v.freeMem, s.Domain != m.opts.Domain)
 		}
 		if b := f.backlog[p.member.VM]; b != nil {
-			b.work = sumUpTo(p.queued, j.Route.Priority) + p.extra
+			b.ahead = sumUpTo(p.queued, j.Route.Priority) + p.extra
+			b.work = b.ahead
 		}
 	}
-	for _, b := range f.backlog {
-		f.ahead += b.work
-	}
-	return f
 }
 
 func sumUpTo(w [4]int64, priority int) (sum int64) {
@@ -90,16 +95,23 @@
 	b.capacity += s.Cores
 }
 
-// plan chooses a target for each of a job's tasks: a server with room, or else
-// the owner with the shortest queue for its capacity. It also returns the view
-// that it chose by.
+// plan chooses a target for each of a job's tasks: a server with room in the
+// neighborhood, one beyond it, or else the owner with the shortest queue for its
+// capacity. It also returns the view that it chose by.
 func (m *Machine) plan(j *openJob, tasks []int) ([]target, *fleet) {
 	f := m.view(j)
+	whole := false
 	demand := packer.Demand{Cores: j.Cores, Memory: j.Memory}
 	targets := make([]target, len(tasks))
 	for n, index := range tasks {
 		avoid := j.tasks[index].avoid
-		if i := packer.Pick(f.servers, demand, avoid); i >= 0 {
+		i := packer.Pick(f.servers, demand, avoid)
+		if i < 0 && !whole {
+			whole = true
+			m.viewPeers(f, j, false)
+			i = packer.Pick(f.servers, demand, avoid)
+		}
+		if i >= 0 {
 			targets[n] = target{found: true, fits: true, owner: f.owners[i], backend: f.servers[i].ID}
 			f.servers[i].Free -= demand.Cores
 			f.servers[i].FreeMem -= demand.Memory
@@ -134,7 +146,10 @@
 
 // sumUp tells the decision on admission what a plan has found.
 func (f *fleet) sumUp(j *openJob, plan []target) admitter.Fleet {
-	sum := admitter.Fleet{Capacity: f.capacity, Ahead: f.ahead}
+	sum := admitter.Fleet{Capacity: f.capacity}
+	for _, b := range f.backlog {
+		sum.Ahead += b.ahead
+	}
 	for _, t := range plan {
 		if !t.fits {
 			sum.Unplaced += work(j.Cores, j.Estimate)
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -54,6 +54,7 @@
 
 // acceptTask queues a task of a home, or says at once that it can't run here.
 func (m *Machine) acceptTask(home identifier.Member, msg peermessenger.RunTask) {
+	m.share(home)
 	if e, ok := m.ended[msg.Run]; ok {
 		m.tell(home, e.msg)
 		return
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -16,28 +16,57 @@
 	helpDelay = 300 * time.Millisecond
 )
 
-// report sends the load report when it is due, or when it has changed and the
-// last one is a while ago.
+// report sends the load report where it is due, and to those that get it often
+// when it has changed and the last one is a while ago.
 func (m *Machine) report() {
 	since := m.now.Sub(m.lastReport)
-	spacing := reportSpacing * time.Duration(1+len(m.peers)/peersPerInterval)
+	spacing := reportSpacing * time.Duration(1+m.nearby()/peersPerInterval)
 	if since < reportInterval && (!m.reportDirty || since < spacing) {
 		return
 	}
 	m.lastReport = m.now
 	m.reportDirty = false
-	msg := m.loadReport()
-	to := make([]identifier.Member, 0, len(m.peers))
+	var often, rarely []identifier.Member
 	for _, p := range m.sortedPeers() {
-		if p.linked {
-			to = append(to, p.member)
+		next := m.announce(p)
+		switch {
+		case !p.linked:
+		case next == reportInterval:
+			often = append(often, p.member)
+			p.told = next
+		case !m.now.Before(p.reportAt) || p.told != next:
+			rarely = append(rarely, p.member)
+			p.told, p.reportAt = next, m.now.Add(next)
 		}
 	}
+	msg := m.loadReport()
+	m.broadcast(often, msg, reportInterval)
+	m.broadcast(rarely, msg, farInterval)
+}
+
+func (m *Machine) broadcast(to []identifier.Member, msg peermessenger.LoadReport, next time.Duration) {
+	if len(to) == 0 {
+		return
+	}
+	msg.Next = next
 	m.emit(Broadcast{To: to, Message: msg})
 }
 
+// nearby counts the peers of the neighborhood.
+func (m *Machine) nearby() (n int) {
+	for _, p := range m.sortedPeers() {
+		if p.near {
+			n++
+		}
+	}
+	return n
+}
+
+// sendReport sends the load report to a peer at once.
 func (m *Machine) sendReport(p *peer) {
-	m.emit(SendMessage{To: p.member, Message: m.loadReport()})
+	p.told = m.announce(p)
+	p.reportAt = m.now.Add(p.told)
+	m.broadcast([]identifier.Member{p.member}, m.loadReport(), p.told)
 }
 
 func (m *Machine) loadReport() peermessenger.LoadReport {
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -152,7 +152,7 @@
 
 // loseServer gives a server up that another VM has taken, or may have.
 func (m *Machine) loseServer(o *ownedServer, cause string) {
-	if m.owned[o.ID] != o {
+	if m.owned[o.ID] != o || m.opts.defects.neverFenced {
 		return
 	}
 	y := m.yields[o.ID]
@@ -206,7 +206,7 @@
 			m.advancePhase(o)
 		}
 	case phaseClaiming:
-		if o.orphans() == 0 {
+		if o.orphans() == 0 || m.opts.defects.keepsUnclaimed {
 			m.becomeReady(o)
 		} else if !m.now.Before(o.claimUntil) {
 			o.phase = phaseClearing
--- a/internal/repeater/world_test.go
+++ b/internal/repeater/world_test.go
@@ -35,9 +35,12 @@
 	jobs         int
 	faults       int // that are drawn
 	lateOrders   float64
+	lateLooks    float64
 	lostAnswers  float64
 	badRuns      float64
 	longest      time.Duration // of a task; 0: the usual
+	neighborhood int           // 0: the default
+	defect       defect
 }
 
 const (
--- a/internal/repeater/worldserver_test.go
+++ b/internal/repeater/worldserver_test.go
@@ -139,7 +139,7 @@
 }
 
 func (s *worldServer) fenced(token identifier.FencingToken) bool {
-	if token < s.token {
+	if token < s.token && s.w.cfg.defect != noFencing {
 		return true
 	}
 	s.token = token
@@ -151,7 +151,7 @@
 	if s.fenced(o.Token) {
 		return StartFenced
 	}
-	if o.Expires <= s.time() {
+	if o.Expires <= s.time() && s.w.cfg.defect != noExpiry {
 		return StartExpired
 	}
 	o.Run = o.Run.OnServer()
@@ -260,7 +260,7 @@
 }
 
 func (w *world) orderStart(vm *worldVM, o StartRun) {
-	w.reach(vm, o.Server, 200*time.Millisecond, func(s *worldServer) (func(), time.Duration) {
+	w.reach(vm, o.Server, 100*time.Millisecond, func(s *worldServer) (func(), time.Duration) {
 		result := s.start(o)
 		clock := s.clock()
 		return func() { vm.step(StartAnswered{Order: o.Order, Result: result, Clock: clock}) }, 0
@@ -291,6 +291,14 @@
 		return
 	}
 	born := s.born
+	if w.cfg.lateLooks > 0 && w.chance(w.cfg.lateLooks) {
+		w.after(w.between(2*time.Second, 6*time.Second), func() {
+			if !s.down && s.born == born && !s.fenced(o.Token) {
+				s.extend(o.Expires)
+			}
+		})
+		return
+	}
 	w.after(w.between(150*time.Microsecond, 1500*time.Microsecond), func() {
 		if s.down || s.born != born {
 			return
--- a/internal/repeater/worldvm_test.go
+++ b/internal/repeater/worldvm_test.go
@@ -20,7 +20,10 @@
 	waiting  []Event // while frozen
 	lastTurn time.Time
 	requests map[RequestID]*worldAttempt
-	lastReq  RequestID
+
+	reporter   identifier.Member // of lastReport
+	lastReport peermessenger.LoadReport
+	lastReq    RequestID
 }
 
 // boot starts a process.
@@ -33,7 +36,7 @@
 	}
 	vm.machine = New(w.now, Options{Self: vm.member, Domain: w.domain(vm.index), Weight: 400, Bounds: Bounds{
 		LongestLease: worldLease, ResendDelay: worldResend,
-	}})
+	}, Neighborhood: w.cfg.neighborhood, defects: w.cfg.defect.defects()})
 	vm.lastTurn = w.now
 	vm.requests = make(map[RequestID]*worldAttempt)
 	vm.step(RoutesChanged{Table: w.table()})
@@ -66,6 +69,9 @@
 			return
 		}
 		vm.step(Ticked{})
+		if vm.w.cfg.defect == hearsTheDead {
+			vm.haunt()
+		}
 		vm.tick(life)
 	})
 }
@@ -105,7 +111,7 @@
 	}
 	gap := vm.w.now.Sub(vm.lastTurn)
 	vm.lastTurn = vm.w.now
-	if gap > 180*time.Millisecond {
+	if gap > 180*time.Millisecond && vm.w.cfg.defect != wakesUnaware {
 		vm.execute(vm.machine.Step(vm.w.now, Woken{Gap: gap}))
 	}
 	if vm.machine != nil {
@@ -157,6 +163,9 @@
 		case StopRun:
 			vm.w.orderStop(vm, e)
 		case Look:
+			if vm.w.cfg.defect == extendsAtOnce {
+				e.Expires = lateExpiry
+			}
 			vm.w.orderLook(vm, e)
 		case Record:
 			if vm.w.verbose {
@@ -171,6 +180,12 @@
 // was replaced.
 func (vm *worldVM) send(receiver identifier.Member, msg peermessenger.Message) {
 	w := vm.w
+	if w.keepsBack(msg) {
+		return
+	}
+	if r, ok := msg.(peermessenger.LoadReport); ok {
+		vm.reporter, vm.lastReport = vm.member, r
+	}
 	data, err := peermessenger.Encode(msg)
 	if err != nil {
 		w.violated("a message can't be encoded: %v", err)
