--- a/internal/peerlinker/linker.go
+++ b/internal/peerlinker/linker.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -112,6 +113,13 @@
 	return l.group.Wait()
 }
 
+// pingPause is the time between two pings of one link.
+func (l *Linker) pingPause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(pingInterval, time.Duration(len(l.up))*time.Second/pingsPerSecond)
+}
+
 // setUp records that a session can be sent to, and reports it.
 func (l *Linker) setUp(s *session) {
 	l.mu.Lock()
--- a/internal/peerlinker/options.go
+++ b/internal/peerlinker/options.go
@@ -35,7 +35,10 @@
 	redialShortest = 50 * time.Millisecond
 	redialLongest  = 2 * time.Second
 	writeTimeout   = 2 * time.Second
+	// pingInterval is the shortest time between two pings of a link, and
+	// pingsPerSecond bounds those of all links together.
 	pingInterval   = 500 * time.Millisecond
+	pingsPerSecond = 20
 	pingTimeout    = time.Second
 	tableInterval  = 2 * time.Second
 )
--- a/internal/peerlinker/session.go
+++ b/internal/peerlinker/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
@@ -94,13 +93,10 @@
 
 // ping fails when the peer does not answer in time.
 func (s *session) ping(ctx context.Context) error {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
+		sleep(ctx, s.linker.pingPause())
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-ticker.C:
 		}
 		if err := s.pingOnce(ctx); err != nil {
 			return err
--- a/internal/repeater/directory.go
+++ b/internal/repeater/directory.go
@@ -44,6 +44,9 @@
 		return
 	}
 	m.serversRevision = e.Revision
+	if m.listed(e.Servers) {
+		return // their writers' heartbeats alone
+	}
 	next := make(map[identifier.BackendID]Server, len(e.Servers))
 	for _, s := range e.Servers {
 		next[s.ID] = s
@@ -70,6 +73,19 @@
 	m.reportDirty = true
 }
 
+// listed reports whether a list is the one that is known.
+func (m *Machine) listed(servers []Server) bool {
+	if len(servers) != len(m.servers) {
+		return false
+	}
+	for _, s := range servers {
+		if known, ok := m.servers[s.ID]; !ok || known != s {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Machine) serverList() []Server {
 	list := make([]Server, 0, len(m.serverIDs))
 	for _, id := range m.serverIDs {
