fix(repeater): keep runs of a server that its owner was unsure of

Cause: an owner that was paused for 0.2 s leaves its servers out of its load reports until they have answered. Homes took their runs there for orphans and started them again 1.3 s later; the owner, which had kept the servers by the same token, went on with them. Tasks that last longer than that ran twice. Found by the control of a seeded defect: histories of tasks up to 4 s with frequent cuts of servers, seed 1. Ruled out: the expiry of orders, which the history is there for. Change: a home claims its runs when the owner reports the server again. TestHistoriesCatch shows nine protections to be needed, each with a history that passes with the protection; one of them needs a new seed yet. TestNoTaskRunsTwiceUnderStress fails before (seed 1) and passes after: 3 x 50 histories; the 100 usual ones pass.

--- a/internal/repeater/faults_test.go
+++ b/internal/repeater/faults_test.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// TestNoTaskRunsTwiceUnderStress plays histories of long tasks in which one kind
+// of fault is frequent. Seed 1 of the first has shown an owner that was paused and
+// went on with a run that its home had started again.
+func TestNoTaskRunsTwiceUnderStress(t *testing.T) {
+	for _, dose := range []defect{noExpiry, noFencing, keepsUnclaimed} {
+		for seed := *firstHistory; seed < *firstHistory+*histories/2; seed++ {
+			if w := playWith(seed, dose, noDefect); len(w.violations) > 0 {
+				t.Fatalf("faults against which %q is: seed %d: %s", dose, seed, strings.Join(w.violations, "\n"))
+			}
+		}
+	}
+}
+
 // TestNoTaskRunsTwiceRapid lets rapid choose the history and shrink it.
 func TestNoTaskRunsTwiceRapid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -38,9 +51,11 @@
 
 var verbose = flag.Bool("verboseHistories", false, "the trace of a history holds all decisions")
 
-func playFaults(seed uint64) *world { return playWith(seed, noDefect) }
+func playFaults(seed uint64) *world { return playWith(seed, noDefect, noDefect) }
 
-func playWith(seed uint64, d defect) *world {
+// playWith plays a history without a protection. Its faults are those that the
+// protection of dose is there for.
+func playWith(seed uint64, dose, d defect) *world {
 	const length = 14 * time.Second
 	w := newWorld(seed, worldConfig{
 		vms: 3 + int(seed%4), servers: 6 + int(seed%5), jobs: 120, faults: 3 + int(seed%9),
@@ -48,9 +63,19 @@
 		lateLooks: 0.02 * float64(seed%3), neighborhood: 2 * int(seed%2), defect: d,
 	})
 	w.verbose = *verbose
-	switch d {
+	switch dose {
 	case noExpiry:
-		w.cfg.lateOrders = 0.15 // what comes late is what the expiry is there for
+		// What comes late is what the expiry is there for, where the stops that
+		// follow get lost.
+		w.cfg.lateOrders, w.cfg.longest = 0.2, 4*time.Second
+		for range 30 {
+			w.after(w.between(1500*time.Millisecond, length), w.faultServerCut)
+		}
+	case noFencing:
+		w.cfg.longest = 3 * time.Second
+		for range 20 {
+			w.after(w.between(1500*time.Millisecond, length), w.faultCutVM)
+		}
 	case keepsUnclaimed:
 		w.cfg.longest = 4 * time.Second // a run has to outlast its home's loss and the next attempt
 	default:
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -197,6 +197,9 @@
 	for _, s := range r.Servers {
 		p.view[s.Backend] = serverView{free: s.Free - p.pending[s.Backend], freeMem: s.FreeMemMB, usable: s.Usable}
 		p.viewed = append(p.viewed, s.Backend)
+		if _, had := previous[s.Backend]; !had && m.owners[s.Backend] == (ownership{owner: p.member, token: s.Token}) {
+			m.claimFrom(p.member, s.Backend) // it was unsure of the server, and has kept it
+		}
 		m.noteOwner(s.Backend, p.member, s.Token)
 	}
 	slices.Sort(p.viewed)
--- a/internal/repeater/worlddefects_test.go
+++ b/internal/repeater/worlddefects_test.go
@@ -29,16 +29,21 @@
 func TestHistoriesCatch(t *testing.T) {
 	const rounds = 400
 	for d, first := range map[defect]uint64{
-		orphansAtOnce: 0, keepsUnclaimed: 0, noQuarantine: 343, dropsCancels: 94, hearsTheDead: 107, wakesUnaware: 1556,
-		noFencing: 219, noExpiry: 0, extendsAtOnce: 7,
+		orphansAtOnce: 0, keepsUnclaimed: 300, noQuarantine: 2600, dropsCancels: 94, hearsTheDead: 180, wakesUnaware: 1670,
+		noFencing: 0, noExpiry: 0, extendsAtOnce: 7,
 	} {
 		t.Run(string(d), func(t *testing.T) {
 			t.Parallel()
 			for seed := first; seed < first+rounds; seed++ {
-				if w := playWith(seed, d); len(w.violations) > 0 {
-					t.Logf("%s: seed %d: %s", d, seed, w.violations[0])
-					return
+				w := playWith(seed, d, d)
+				if len(w.violations) == 0 {
+					continue
 				}
+				t.Logf("%s: seed %d: %s", d, seed, w.violations[0])
+				if w := playWith(seed, d, noDefect); len(w.violations) > 0 {
+					t.Errorf("seed %d shows a violation with the protection, too: %s", seed, w.violations[0])
+				}
+				return
 			}
 			t.Errorf("not caught in %d histories from seed %d", rounds, first)
 		})
