--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -16,6 +16,7 @@
 	Free     identifier.Millicores
 	FreeMem  identifier.Mebibytes
 	Remote   bool    // in another failure domain
+	Peer     bool    // ordered about by another VM
 	Slowness float64 // run times on it against the fleet's; 1 is usual
 }
 
@@ -36,6 +37,11 @@
 // over one in another failure domain: an eighth of a usual server.
 const remoteCost = 4000
 
+// peerCost is how many millicores of waste a server may leave to be preferred
+// over one that another VM orders about: half of a usual server, so that jobs stay
+// on their VM while there is room.
+const peerCost = 16000
+
 // Pick returns the index of the server that the task fits best: the one that it
 // leaves the least unused, preferably a fast and a near one. It returns -1 when it
 // fits none but servers to avoid.
@@ -49,6 +55,9 @@
 		if s.Remote {
 			cost += remoteCost
 		}
+		if s.Peer {
+			cost += peerCost
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -45,7 +45,7 @@
 		if o.startable(m.now) && len(m.queue) == 0 {
 			free, mem = o.free()
 		}
-		f.add(m.opts.Self, o.Server, free, mem, false)
+		f.add(m.opts.Self, o.Server, free, mem, false, false)
 	}
 	if b := f.backlog[m.opts.Self.VM]; b != nil {
 		b.ahead = sumUpTo(m.queuedWork(), j.Route.Priority)
@@ -67,7 +67,7 @@
 			if !ok || !listed || !v.usable || s.Leaving || s.Pool != j.Route.Pool {
 				continue
 			}
-			f.add(p.member, s, v.free, v.freeMem, s.Domain != m.opts.Domain)
+			f.add(p.member, s, v.free, v.freeMem, s.Domain != m.opts.Domain, true)
 		}
 		if b := f.backlog[p.member.VM]; b != nil {
 			b.ahead = sumUpTo(p.queued, j.Route.Priority) + p.extra
@@ -83,8 +83,8 @@
 	return sum
 }
 
-func (f *fleet) add(owner identifier.Member, s Server, free identifier.Millicores, mem identifier.Mebibytes, remote bool) {
-	f.servers = append(f.servers, packer.Server{ID: s.ID, Capacity: s.Cores, Free: free, FreeMem: mem, Remote: remote, Slowness: 1})
+func (f *fleet) add(owner identifier.Member, s Server, free identifier.Millicores, mem identifier.Mebibytes, remote, peer bool) {
+	f.servers = append(f.servers, packer.Server{ID: s.ID, Capacity: s.Cores, Free: free, FreeMem: mem, Remote: remote, Peer: peer, Slowness: 1})
 	f.owners = append(f.owners, owner)
 	f.capacity += s.Cores
 	b := f.backlog[owner.VM]
--- a/internal/repeater/worldserver_test.go
+++ b/internal/repeater/worldserver_test.go
@@ -293,7 +293,7 @@
 	born := s.born
 	if w.cfg.lateLooks > 0 && w.chance(w.cfg.lateLooks) {
 		w.after(w.between(2*time.Second, 6*time.Second), func() {
-			if !s.down && s.born == born && !s.fenced(o.Token) {
+			if !s.down && s.born.Equal(born) && !s.fenced(o.Token) {
 				s.extend(o.Expires)
 			}
 		})
