fix(repeater): don't repeat stops to a server that answers nothing

Ruled out: reading the list of servers again after each failed watch; while a VM is refused by the store those calls fail, too. Change: a stop is repeated early only where at most one call has got no answer. Tests: neighbors agree on each other, the reports of an idle VM of 30 are bounded, an own server goes before a peer's. Tests of the package pass.

--- a/internal/packer/packer_test.go
+++ b/internal/packer/packer_test.go
@@ -22,6 +22,7 @@
 			Free     identifier.Millicores `yaml:"free"`
 			Mem      identifier.Mebibytes  `yaml:"mem"`
 			Remote   bool                  `yaml:"remote"`
+			Peer     bool                  `yaml:"peer"`
 			Slowness float64               `yaml:"slowness"`
 		} `yaml:"servers"`
 		Avoid  []identifier.BackendID `yaml:"avoid"`
@@ -35,7 +36,7 @@
 	for _, c := range cases {
 		var servers []Server
 		for _, s := range c.Servers {
-			servers = append(servers, Server{ID: s.ID, Capacity: 32000, Free: s.Free, FreeMem: s.Mem, Remote: s.Remote, Slowness: max(s.Slowness, 1)})
+			servers = append(servers, Server{ID: s.ID, Capacity: 32000, Free: s.Free, FreeMem: s.Mem, Remote: s.Remote, Peer: s.Peer, Slowness: max(s.Slowness, 1)})
 		}
 		var got identifier.BackendID
 		if i := Pick(servers, Demand{Cores: c.Cores, Memory: c.Memory}, c.Avoid); i >= 0 {
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -171,8 +171,8 @@
 
 // stop orders a server to end a run, or never to start it.
 func (m *Machine) stop(o *ownedServer, r *run, cause string) {
-	if r.state == runStopping && (!r.stoppedAt.IsZero() || r.stopOrder != 0 && m.now.Sub(r.stopSentAt) < stopRepeat) {
-		return
+	if r.state == runStopping && (!r.stoppedAt.IsZero() || r.stopOrder != 0 && (o.silent > 1 || m.now.Sub(r.stopSentAt) < stopRepeat)) {
+		return // a server that answers nothing gets no more than it can miss
 	}
 	r.stopSentAt = m.now
 	if r.state != runStopping {
--- a/internal/repeater/worldvm_test.go
+++ b/internal/repeater/worldvm_test.go
@@ -23,6 +23,7 @@
 
 	reporter   identifier.Member // of lastReport
 	lastReport peermessenger.LoadReport
+	reports    int // sent
 	lastReq    RequestID
 }
 
@@ -165,6 +166,7 @@
 		case SendMessage:
 			vm.send(e.To, e.Message)
 		case Broadcast:
+			vm.reports += len(e.To)
 			for _, to := range e.To {
 				vm.send(to, e.Message)
 			}
