--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -54,8 +54,8 @@
 	// reportSpacing is the shortest time between two load reports: the work that
 	// starts on one VM in this time is less than one of its servers holds.
 	reportSpacing = 30 * time.Millisecond
-	// peersPerInterval is the number of peers beyond which load reports are sent
-	// less often, so that their cost stays bounded on a small VM.
+	// peersPerInterval is the number of neighbors that lengthens the shortest time
+	// between two load reports once more, so that a small VM sends about 100 a second.
 	peersPerInterval = 6
 
 	// leaseLength is the lease that an order asks for. With silenceBound it stays
