refactor: sleep until a context ends in one place

Cause: the follower of the store, the registrar, the links and the daemon each had a timer and a select of their own, as had seven packages before them. Ruled out: pauses that something else ends, too (a link that is hurried); they stay. Change: internal/sleeper; eleven copies call it. Before and after: behaviour as it was, but that a pause of none starts no timer; the tests of all these packages pass. Conclusion: none of the copies differed in what its caller needs.

--- a/internal/backendcaller/start.go
+++ b/internal/backendcaller/start.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // Start starts a task on the backend server at an address and waits for its
@@ -86,7 +88,7 @@
 		switch {
 		case err != nil:
 			detail = err.Error()
-			pause(ctx, c.opts.ReconnectDelay)
+			_ = sleeper.Sleep(ctx, c.opts.ReconnectDelay) // the next query sees the end of ctx
 		case report.Result != nil:
 			c.tally.need(StartMessage, 1)
 			return report.Result
@@ -100,12 +102,3 @@
 	c.tally.waste(StartMessage, 1)
 	return Lost{Detail: "the answer was lost: " + detail}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/experimenter/experiment.go
+++ b/internal/experimenter/experiment.go
@@ -9,6 +9,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/loader"
 	"github.com/peppertrack/peppertrack/internal/profileparser"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // Result is the outcome of one scenario.
@@ -64,7 +65,7 @@
 		return Run{}, err
 	}
 	defer func() { err = errors.CombineErrors(err, system.Close()) }()
-	if err := wait(ctx, s.System.WarmUp); err != nil {
+	if err := sleeper.Sleep(ctx, s.System.WarmUp); err != nil {
 		return Run{}, err
 	}
 	recording := newRecordingSystem(system)
@@ -94,7 +95,7 @@
 // disturb brings about each fault at its time.
 func disturb(ctx context.Context, system *recordingSystem, steps []step) error {
 	for _, step := range steps {
-		if err := wait(ctx, step.at-time.Since(system.start)); err != nil {
+		if err := sleeper.Sleep(ctx, step.at-time.Since(system.start)); err != nil {
 			return err
 		}
 		if err := system.Inject(ctx, step.fault); err != nil {
@@ -103,14 +104,3 @@
 	}
 	return nil
 }
-
-func wait(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/jobsubmitter/exchange.go
+++ b/internal/jobsubmitter/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // call is one request of a caller, which may take several attempts.
@@ -42,7 +43,7 @@
 		if err != nil {
 			avoid = address
 		}
-		if sleepErr := sleep(ctx, pause); sleepErr != nil {
+		if sleepErr := sleeper.Sleep(ctx, pause); sleepErr != nil {
 			if err == nil {
 				return answer, nil
 			}
--- a/internal/jobsubmitter/queries.go
+++ b/internal/jobsubmitter/queries.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // Fetch returns what is known of a job, after at most the given wait for its
@@ -26,7 +27,7 @@
 		if err != nil || answer.Ending != nil {
 			return answer, err
 		}
-		if err := sleep(ctx, s.backoff(1)); err != nil {
+		if err := sleeper.Sleep(ctx, s.backoff(1)); err != nil {
 			return answer, &UnansweredError{Submission: id, Attempts: answer.Attempts, Last: err}
 		}
 	}
--- a/internal/jobsubmitter/submitter.go
+++ b/internal/jobsubmitter/submitter.go
@@ -80,14 +80,3 @@
 	defer s.mu.Unlock()
 	return pause + time.Duration(s.rng.Int64N(int64(pause)/5+1))
 }
-
-func sleep(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/loader/request.go
+++ b/internal/loader/request.go
@@ -11,6 +11,7 @@
 	"github.com/peppertrack/peppertrack/internal/declarer"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/jobsubmitter"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // send starts the requests of one job: the first, and its copies to any entry
@@ -67,7 +68,7 @@
 
 // again sends a further request with the id of a job.
 func (r *run) again(ctx context.Context, s *jobsubmitter.Submitter, submission jobsubmitter.Submission, delay time.Duration) {
-	if !pause(ctx, delay) {
+	if sleeper.Sleep(ctx, delay) != nil {
 		return
 	}
 	r.ask(ctx, s, submission)
@@ -130,14 +131,3 @@
 	}
 	return false
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/loader/run.go
+++ b/internal/loader/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/peppertrack/peppertrack/internal/jobsubmitter"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 const copyStream = 10 // the random stream that picks entry VMs for copies
@@ -111,14 +112,7 @@
 }
 
 func (r *run) waitUntil(ctx context.Context, at time.Duration) bool {
-	timer := time.NewTimer(time.Until(r.start.Add(at)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleeper.Sleep(ctx, time.Until(r.start.Add(at))) == nil
 }
 
 // drain waits for the answers; requests that are still waiting at its end are
--- a/internal/operatorserver/client.go
+++ b/internal/operatorserver/client.go
@@ -17,6 +17,7 @@
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/profilekeeper"
 	"github.com/peppertrack/peppertrack/internal/profileparser"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 const (
@@ -64,7 +65,7 @@
 		body.Operations = append(body.Operations, encoded(o))
 	}
 	for n := range changeAttempts {
-		if n > 0 && !wait(ctx, changePause) {
+		if n > 0 && sleeper.Sleep(ctx, changePause) != nil {
 			break
 		}
 		err = c.call(ctx, http.MethodPost, "changes", body, &accepted)
@@ -75,17 +76,6 @@
 	return accepted, err
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Profiles returns the profiles in force.
 func (c *Client) Profiles(ctx context.Context) (list ProfileList, err error) {
 	err = c.call(ctx, http.MethodGet, "profiles", nil, &list)
--- a/internal/peerlinker/link.go
+++ b/internal/peerlinker/link.go
@@ -163,12 +163,3 @@
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/peerlinker/session.go
+++ b/internal/peerlinker/session.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // session is one connection of a link, to one incarnation of the peer.
@@ -94,9 +95,8 @@
 // ping fails when the peer does not answer in time.
 func (s *session) ping(ctx context.Context) error {
 	for {
-		sleep(ctx, s.linker.pingPause())
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if err := sleeper.Sleep(ctx, s.linker.pingPause()); err != nil {
+			return err
 		}
 		if err := s.pingOnce(ctx); err != nil {
 			return err
--- a/internal/platformcaller/memorycaller.go
+++ b/internal/platformcaller/memorycaller.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // MemoryCaller is one caller's view of a Memory. It implements Store, Lister
@@ -230,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	if err := sleep(ctx, delay); err != nil {
+	if err := sleeper.Sleep(ctx, delay); err != nil {
 		return &UnavailableError{Detail: err.Error()}
 	}
 	err = c.reachNow()
@@ -262,7 +263,7 @@
 
 // leaveRead applies the faults that come after a read.
 func (c *MemoryCaller) leaveRead(ctx context.Context) error {
-	if err := sleep(ctx, c.memory.Faults().Delay/2); err != nil {
+	if err := sleeper.Sleep(ctx, c.memory.Faults().Delay/2); err != nil {
 		return &UnavailableError{Detail: err.Error()}
 	}
 	return c.reachNow()
@@ -275,7 +276,7 @@
 	lost := m.drawLostAnswer()
 	delay := m.faults.Delay / 2
 	m.mu.Unlock()
-	if err := sleep(ctx, delay); err != nil {
+	if err := sleeper.Sleep(ctx, delay); err != nil {
 		return &OutcomeUnknownError{Detail: err.Error()}
 	}
 	if lost {
@@ -297,17 +298,3 @@
 	p := m.faults.LoseAnswerProbability
 	return p > 0 && m.rand.Float64() < p
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/profilewriter/attempts.go
+++ b/internal/profilewriter/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/platformcaller"
 	"github.com/peppertrack/peppertrack/internal/profilekeeper"
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // attempts is the state of the attempts at one request.
@@ -131,12 +132,5 @@
 // the request's time is up.
 func (a *attempts) pause(ctx context.Context, n int) bool {
 	d := min(maxBackoff, firstBackoff<<(n-1))
-	t := time.NewTimer(d/2 + time.Duration(a.jitter.Int64N(int64(d/2))))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleeper.Sleep(ctx, d/2+time.Duration(a.jitter.Int64N(int64(d/2)))) == nil
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 // LeaseID names a lease that the store granted. 0 is no lease.
@@ -61,12 +63,7 @@
 			_ = r.opts.Logger.Log("level", "warn", "msg", "address not registered", "key", r.opts.Key, "err", err)
 			pause = retryPause/2 + rand.N(retryPause)
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		_ = sleeper.Sleep(ctx, pause) // the loop sees the end of ctx
 	}
 	return nil
 }
--- a/internal/storefollower/follower.go
+++ b/internal/storefollower/follower.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+
+	"github.com/peppertrack/peppertrack/internal/sleeper"
 )
 
 const (
@@ -81,25 +83,12 @@
 				break
 			}
 			f.works()
-			f.sleep(ctx, f.opts.Pace)
+			_ = sleeper.Sleep(ctx, f.opts.Pace) // the loop sees the end of ctx
 		}
 	}
 	return nil
 }
 
-// sleep waits for a time, or until the context ends.
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // load reads all items.
 func (f *Follower) load(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "reading items under %s", f.opts.Prefix) }()
@@ -215,7 +204,7 @@
 		_ = f.opts.Logger.Log("level", "warn", "msg", "store lost", "prefix", f.opts.Prefix, "revision", f.at, "err", err)
 	}
 	f.failing = true
-	f.sleep(ctx, f.pause/2+rand.N(f.pause))
+	_ = sleeper.Sleep(ctx, f.pause/2+rand.N(f.pause)) // the caller sees the end of ctx
 	f.pause = min(2*f.pause, retryLongest)
 }
 
