--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -130,17 +130,22 @@
 		m.emit(SendMessage{To: to, Message: msg})
 		return
 	}
+	m.handle(to, msg)
+}
+
+// handle reacts to a message on tasks, of a peer or of this VM.
+func (m *Machine) handle(from identifier.Member, msg peermessenger.Message) {
 	switch msg := msg.(type) {
 	case peermessenger.RunTask:
-		m.acceptTask(to, msg)
+		m.acceptTask(from, msg)
 	case peermessenger.TaskPlaced:
-		m.taskPlaced(to, msg)
+		m.taskPlaced(from, msg)
 	case peermessenger.TaskEnded:
-		m.taskEnded(to, msg)
+		m.taskEnded(from, msg)
 	case peermessenger.CancelRuns:
-		m.cancelRuns(to, msg.Runs)
+		m.cancelRuns(from, msg.Runs)
 	case peermessenger.ClaimRuns:
-		m.claimed(to, msg)
+		m.claimed(from, msg)
 	}
 }
 
--- a/internal/repeater/lateorders_test.go
+++ b/internal/repeater/lateorders_test.go
@@ -24,7 +24,7 @@
 			refused++
 		case "completed":
 			done++
-			if j.ended.Sub(j.first) <= j.objective() {
+			if j.onTime() {
 				onTime++
 			}
 		}
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -24,6 +24,7 @@
 
 	peers     map[identifier.VMID]*peer
 	peerOrder []*peer // sorted; nil when peers have changed
+	nearby    int     // peers of the neighborhood
 	listedVMs []identifier.VMID
 
 	// as a home
--- a/internal/repeater/minority_test.go
+++ b/internal/repeater/minority_test.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		others++
-		if j.outcome == "completed" && j.ended.Sub(j.first) <= j.objective() {
+		if j.onTime() {
 			onTime++
 		}
 	}
--- a/internal/repeater/neighborhood.go
+++ b/internal/repeater/neighborhood.go
@@ -47,7 +47,7 @@
 	return xxhash.Sum64String(string(a))%parts == xxhash.Sum64String(string(b))%parts
 }
 
-// findNeighbors marks the peers of this VM's neighborhood.
+// findNeighbors marks and counts the peers of this VM's neighborhood.
 func (m *Machine) findNeighbors() {
 	inDomain := 1
 	for _, p := range m.peers {
@@ -55,8 +55,12 @@
 			inDomain++
 		}
 	}
+	m.nearby = 0
 	for id, p := range m.peers {
 		p.near = neighbors(m.opts.Self.VM, id, m.opts.Domain, p.domain, len(m.peers)+1, inDomain, m.opts.neighborhood())
+		if p.near {
+			m.nearby++
+		}
 	}
 }
 
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -1,6 +1,7 @@
 package repeater
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -171,6 +172,20 @@
 	}
 }
 
+// allRuns walks the runs at all servers of this VM, in order.
+func (m *Machine) allRuns() iter.Seq2[*ownedServer, *run] {
+	return func(yield func(*ownedServer, *run) bool) {
+		for _, id := range m.ownedIDs() {
+			o := m.owned[id]
+			for _, r := range o.sortedRuns() {
+				if !yield(o, r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func (m *Machine) ownedRuns() (n int) {
 	for _, o := range m.owned {
 		n += len(o.runs)
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -227,12 +227,9 @@
 // stopRunsOf stops what runs or waits here for a home that is lost.
 func (m *Machine) stopRunsOf(home identifier.Member) {
 	m.queue = slices.DeleteFunc(m.queue, func(q *queuedTask) bool { return q.home == home })
-	for _, id := range m.ownedIDs() {
-		o := m.owned[id]
-		for _, r := range o.sortedRuns() {
-			if r.home == home {
-				m.stop(o, r, "its home is lost")
-			}
+	for o, r := range m.allRuns() {
+		if r.home == home {
+			m.stop(o, r, "its home is lost")
 		}
 	}
 }
--- a/internal/repeater/pace_test.go
+++ b/internal/repeater/pace_test.go
@@ -19,7 +19,7 @@
 	}
 	onTime := 0
 	for _, j := range w.jobs {
-		if j.outcome == "completed" && j.ended.Sub(j.first) <= j.objective() {
+		if j.onTime() {
 			onTime++
 		}
 	}
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -168,18 +168,10 @@
 	switch msg := e.Message.(type) {
 	case peermessenger.LoadReport:
 		m.receiveReport(p, msg)
-	case peermessenger.RunTask:
-		m.acceptTask(e.From, msg)
-	case peermessenger.TaskPlaced:
-		m.taskPlaced(e.From, msg)
-	case peermessenger.TaskEnded:
-		m.taskEnded(e.From, msg)
-	case peermessenger.CancelRuns:
-		m.cancelRuns(e.From, msg.Runs)
-	case peermessenger.ClaimRuns:
-		m.claimed(e.From, msg)
 	case peermessenger.ServerReleased:
 		m.serverReleased(e.From, msg)
+	default:
+		m.handle(e.From, msg)
 	}
 }
 
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -69,22 +69,29 @@
 			return
 		}
 	}
-	for _, id := range m.ownedIDs() {
-		for _, r := range m.owned[id].sortedRuns() {
-			if r.ref.Task != msg.Run.Task {
-				continue
-			}
-			if r.ref == msg.Run && r.state != runStopping && r.state != runOrphan {
-				r.home = home
-				if r.state == runRunning {
-					m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: id, Token: m.owned[id].token})
-				}
-				return
+	if m.running[msg.Run.Task] > 0 && m.joinRun(home, msg) {
+		return
+	}
+	m.enqueue(&queuedTask{home: home, msg: msg, objective: m.now.Add(msg.Objective), arrived: m.now})
+}
+
+// joinRun stops the runs of a task for another one. It reports true when the run
+// that is asked for goes on already.
+func (m *Machine) joinRun(home identifier.Member, msg peermessenger.RunTask) bool {
+	for o, r := range m.allRuns() {
+		if r.ref.Task != msg.Run.Task {
+			continue
+		}
+		if r.ref == msg.Run && r.state != runStopping && r.state != runOrphan {
+			r.home = home
+			if r.state == runRunning {
+				m.tell(home, peermessenger.TaskPlaced{Run: r.ref, Backend: o.ID, Token: o.token})
 			}
-			m.stop(m.owned[id], r, "replaced by another run of the task")
+			return true
 		}
+		m.stop(o, r, "replaced by another run of the task")
 	}
-	m.enqueue(&queuedTask{home: home, msg: msg, objective: m.now.Add(msg.Objective), arrived: m.now})
+	return false
 }
 
 // unable returns why a task can't be queued here, or nothing.
--- a/internal/repeater/recovery_test.go
+++ b/internal/repeater/recovery_test.go
@@ -30,7 +30,7 @@
 				continue
 			}
 			sent++
-			if j.outcome == "completed" && j.ended.Sub(j.first) <= j.objective() {
+			if j.onTime() {
 				onTime++
 			}
 		}
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -20,7 +20,7 @@
 // when it has changed and the last one is a while ago.
 func (m *Machine) report() {
 	since := m.now.Sub(m.lastReport)
-	spacing := reportSpacing * time.Duration(1+m.nearby()/peersPerInterval)
+	spacing := reportSpacing * time.Duration(1+m.nearby/peersPerInterval)
 	if since < reportInterval && (!m.reportDirty || since < spacing) {
 		return
 	}
@@ -52,16 +52,6 @@
 	m.emit(Broadcast{To: to, Message: msg})
 }
 
-// nearby counts the peers of the neighborhood.
-func (m *Machine) nearby() (n int) {
-	for _, p := range m.sortedPeers() {
-		if p.near {
-			n++
-		}
-	}
-	return n
-}
-
 // sendReport sends the load report to a peer at once.
 func (m *Machine) sendReport(p *peer) {
 	p.told = m.announce(p)
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -339,11 +339,9 @@
 			dropped = append(dropped, q.msg.Run)
 		}
 	}
-	for _, id := range m.ownedIDs() {
-		for _, r := range m.owned[id].sortedRuns() {
-			if r.home == home && !claimed[r.ref] {
-				dropped = append(dropped, r.ref)
-			}
+	for _, r := range m.allRuns() {
+		if r.home == home && !claimed[r.ref] {
+			dropped = append(dropped, r.ref)
 		}
 	}
 	m.cancelRuns(home, dropped)
--- a/internal/repeater/worldjob_test.go
+++ b/internal/repeater/worldjob_test.go
@@ -103,6 +103,10 @@
 	return time.Duration(1.6*float64(j.length)) + 60*time.Millisecond
 }
 
+func (j *worldJob) onTime() bool {
+	return j.outcome == "completed" && j.ended.Sub(j.first) <= j.objective()
+}
+
 // budget is how long the caller waits.
 func (j *worldJob) budget() time.Duration { return worldPatience + 3*j.objective() }
 
--- a/internal/repeater/worldserver_test.go
+++ b/internal/repeater/worldserver_test.go
@@ -218,7 +218,7 @@
 
 // reach plays a call: it arrives, and its answer comes back, unless the server
 // is cut off, down, late, or the answer is lost.
-func (w *world) reach(vm *worldVM, server Server, limit time.Duration, call func(s *worldServer) (answer func(), wait time.Duration), lost func()) {
+func (w *world) reach(vm *worldVM, server Server, limit time.Duration, call func(s *worldServer) (answer func()), lost func()) {
 	s := w.servers[w.serverIndex(server.ID)]
 	life := vm.life
 	answered := false
@@ -241,7 +241,7 @@
 		if s.down || s.born != born {
 			return
 		}
-		answer, _ := call(s)
+		answer := call(s)
 		if late || w.chance(w.cfg.lostAnswers) || answer == nil {
 			return
 		}
@@ -260,18 +260,18 @@
 }
 
 func (w *world) orderStart(vm *worldVM, o StartRun) {
-	w.reach(vm, o.Server, 100*time.Millisecond, func(s *worldServer) (func(), time.Duration) {
+	w.reach(vm, o.Server, 100*time.Millisecond, func(s *worldServer) func() {
 		result := s.start(o)
 		clock := s.clock()
-		return func() { vm.step(StartAnswered{Order: o.Order, Result: result, Clock: clock}) }, 0
+		return func() { vm.step(StartAnswered{Order: o.Order, Result: result, Clock: clock}) }
 	}, func() { vm.step(StartAnswered{Order: o.Order, Result: StartUnanswered}) })
 }
 
 func (w *world) orderStop(vm *worldVM, o StopRun) {
-	w.reach(vm, o.Server, 250*time.Millisecond, func(s *worldServer) (func(), time.Duration) {
+	w.reach(vm, o.Server, 250*time.Millisecond, func(s *worldServer) func() {
 		result := s.stop(o)
 		clock := s.clock()
-		return func() { vm.step(StopAnswered{Order: o.Order, Result: result, Clock: clock}) }, 0
+		return func() { vm.step(StopAnswered{Order: o.Order, Result: result, Clock: clock}) }
 	}, func() { vm.step(StopAnswered{Order: o.Order, Result: StopUnanswered}) })
 }
 
--- a/internal/repeater/worldvm_test.go
+++ b/internal/repeater/worldvm_test.go
@@ -16,7 +16,6 @@
 	machine  *Machine
 	member   identifier.Member
 	frozen   bool
-	frozenAt time.Time
 	waiting  []Event // while frozen
 	lastTurn time.Time
 	requests map[RequestID]*worldAttempt
@@ -136,7 +135,7 @@
 		return
 	}
 	vm.w.note("vm-%d freezes for %v", vm.index, d)
-	vm.frozen, vm.frozenAt = true, vm.w.now
+	vm.frozen = true
 	life := vm.life
 	vm.w.after(d, func() {
 		if vm.life != life {
