--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -15,7 +15,6 @@
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	pauses := newPauseDetector()
 	for {
 		var e repeater.Event
 		select {
@@ -25,9 +24,10 @@
 		case <-ticker.C:
 			e = repeater.Ticked{}
 		}
-		if gap := pauses.gap(); gap > pauseThreshold {
+		if gap := s.pauses.gap(); gap > pauseThreshold {
 			s.step(m, repeater.Resumed{Gap: gap})
 		}
+		s.pauses.mark()
 		s.step(m, e)
 	}
 }
--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -30,6 +30,7 @@
 	group     errgroup.Group
 	drained   chan struct{}
 	latencies *latencies
+	pauses    *pauseDetector
 
 	routes   atomic.Pointer[router.Table]
 	ready    atomic.Bool
@@ -50,6 +51,7 @@
 		cancel:    cancel,
 		drained:   make(chan struct{}),
 		latencies: newLatencies(),
+		pauses:    newPauseDetector(),
 		requests:  make(map[repeater.RequestID]chan repeater.Outcome),
 	}
 	s.linker = peerlinker.New(peerlinker.Options{
@@ -79,6 +81,10 @@
 // Routes returns the route table in force; nil: none yet.
 func (s *Server) Routes() *router.Table { return s.routes.Load() }
 
+// SinceLastStep returns how long ago the state machine last handled an event: the
+// least age of all that is read from it.
+func (s *Server) SinceLastStep() time.Duration { return s.pauses.gap() }
+
 // Ready reports whether this VM can serve new callers.
 func (s *Server) Ready() bool { return s.ready.Load() }
 
