fix(repeater): route requests in the state machine, by routes confirmed since a pause

Cause: each request's goroutine routed itself by a published copy of the routes. After a freeze it ran before the state machine had noticed the pause and taken up the changes that waited. Submitted jobs were refused as possibly old only because they pass through the state machine; counts, states and refusals did not. And 0.3 s after a pause jobs, too, were taken by routes that nothing had confirmed.

Change: routing is an event of the state machine, which holds the only copy; the first event after a gap is preceded by Resumed. After a pause requests are refused with 503 until a read of the store that began after it has confirmed the routes, for 0.3 s at least and 0.5 s at most. storefollower can be asked to read at once, and tells as of when its items were confirmed; its age stands in the log lines of such decisions.

Conclusion: a VM can't answer by what it knew before a pause without knowing that it was paused.

--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -15,6 +15,7 @@
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	pauses := newPauseDetector()
 	for {
 		var e repeater.Event
 		select {
@@ -24,10 +25,9 @@
 		case <-ticker.C:
 			e = repeater.Ticked{}
 		}
-		if gap := s.pauses.gap(); gap > pauseThreshold {
+		if gap := pauses.gap(); gap > pauseThreshold {
 			s.step(m, repeater.Resumed{Gap: gap})
 		}
-		s.pauses.mark()
 		s.step(m, e)
 	}
 }
@@ -38,9 +38,6 @@
 	for _, effect := range m.Step(time.Now(), e) {
 		s.execute(effect)
 	}
-	if t := m.Routes(); t != s.routes.Load() {
-		s.routes.Store(t)
-	}
 	if _, ok := e.(repeater.Ticked); ok {
 		s.ready.Store(m.Ready())
 		c := m.Counters()
@@ -51,7 +48,13 @@
 func (s *Server) execute(e repeater.Effect) {
 	switch e := e.(type) {
 	case repeater.Reply:
-		s.reply(e)
+		s.outcomes.deliver(e.Request, e.Outcome)
+	case repeater.RouteReply:
+		s.decisions.deliver(e.Request, e.Decision)
+	case repeater.ReadRoutes:
+		if s.opts.ReadRoutes != nil {
+			s.opts.ReadRoutes()
+		}
 	case repeater.SendMessage:
 		s.linker.Send(e.To, e.Message) // messages lost with a link are sent again once it is back
 	case repeater.Broadcast:
@@ -70,15 +73,6 @@
 	}
 }
 
-func (s *Server) reply(r repeater.Reply) {
-	s.mu.Lock()
-	answer := s.requests[r.Request]
-	s.mu.Unlock()
-	if answer != nil {
-		answer <- r.Outcome // doesn't block: each request is answered once, and the channel has room for one
-	}
-}
-
 func (s *Server) startRun(call repeater.StartRun) {
 	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 	defer cancel()
--- a/internal/jobserver/options.go
+++ b/internal/jobserver/options.go
@@ -18,7 +18,10 @@
 	Seeds         []string // addresses of the peers to link to first
 	Bounds        repeater.Bounds
 	BackendClient BackendClient
-	Logger        log.Logger
+	// ReadRoutes makes the caller read the routes in the store again and report them
+	// with SetRoutes and ConfirmRoutes. It must not block. It may be nil.
+	ReadRoutes func()
+	Logger     log.Logger
 }
 
 const (
--- a/internal/jobserver/pause.go
+++ b/internal/jobserver/pause.go
@@ -1,7 +1,6 @@
 package jobserver
 
 import (
-	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -9,36 +8,24 @@
 
 // pauseDetector detects that the process did not run for a while. The monotonic
 // clock stands still while a VM is suspended, so the boot-time clock, which runs
-// on, is read too. It is safe for concurrent use.
+// on, is read too.
 type pauseDetector struct {
-	mu            sync.Mutex
 	lastMonotonic time.Time
 	lastBoot      time.Duration
 }
 
 func newPauseDetector() *pauseDetector {
-	d := &pauseDetector{}
-	d.mark()
-	return d
+	return &pauseDetector{lastMonotonic: time.Now(), lastBoot: bootTime()}
 }
 
-// mark records that the process runs now.
-func (d *pauseDetector) mark() {
-	now, boot := time.Now(), bootTime()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.lastMonotonic, d.lastBoot = now, boot
-}
-
-// gap returns the time since the last call of mark, by the clock that advanced more.
+// gap returns the time since its last call, by the clock that advanced more.
 func (d *pauseDetector) gap() time.Duration {
 	now, boot := time.Now(), bootTime()
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	gap := now.Sub(d.lastMonotonic)
 	if boot > 0 && d.lastBoot > 0 {
 		gap = max(gap, boot-d.lastBoot)
 	}
+	d.lastMonotonic, d.lastBoot = now, boot
 	return gap
 }
 
--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,15 +29,12 @@
 	group     errgroup.Group
 	drained   chan struct{}
 	latencies *latencies
-	pauses    *pauseDetector
 
-	routes   atomic.Pointer[router.Table]
 	ready    atomic.Bool
 	counters atomic.Pointer[repeater.Counters]
 
-	mu          sync.Mutex
-	lastRequest repeater.RequestID
-	requests    map[repeater.RequestID]chan repeater.Outcome
+	outcomes  *answers[repeater.Outcome]
+	decisions *answers[repeater.RouteDecision]
 }
 
 // New returns a Server that does nothing before Start.
@@ -51,8 +47,8 @@
 		cancel:    cancel,
 		drained:   make(chan struct{}),
 		latencies: newLatencies(),
-		pauses:    newPauseDetector(),
-		requests:  make(map[repeater.RequestID]chan repeater.Outcome),
+		outcomes:  newAnswers[repeater.Outcome](),
+		decisions: newAnswers[repeater.RouteDecision](),
 	}
 	s.linker = peerlinker.New(peerlinker.Options{
 		Self:   peerlinker.Peer{Member: opts.Self, Domain: opts.Domain, Address: opts.PeerAddress},
@@ -78,19 +74,16 @@
 // Connect links to a peer at an address.
 func (s *Server) Connect(address string) { s.linker.Connect(address) }
 
-// Routes returns the route table in force; nil: none yet.
-func (s *Server) Routes() *router.Table { return s.routes.Load() }
-
-// SinceLastStep returns how long ago the state machine last handled an event: the
-// least age of all that is read from it.
-func (s *Server) SinceLastStep() time.Duration { return s.pauses.gap() }
-
 // Ready reports whether this VM can serve new callers.
 func (s *Server) Ready() bool { return s.ready.Load() }
 
 // SetRoutes puts a route table in force unless a later one is in force.
 func (s *Server) SetRoutes(t *router.Table) { s.post(repeater.RoutesChanged{Table: t}) }
 
+// ConfirmRoutes reports that the store had no later routes at asOf than those that
+// SetRoutes was called with before.
+func (s *Server) ConfirmRoutes(asOf time.Time) { s.post(repeater.RoutesConfirmed{AsOf: asOf}) }
+
 // SetServers puts the list of backend servers of a revision in force.
 func (s *Server) SetServers(revision uint64, servers []repeater.Server) {
 	s.post(repeater.ServersChanged{Revision: revision, Servers: servers})
@@ -99,15 +92,30 @@
 // SetListedVMs tells the state machine which VMs the store lists.
 func (s *Server) SetListedVMs(vms []identifier.VMID) { s.post(repeater.VMsListed{VMs: vms}) }
 
+// Route decides the route of a request; false when the context ended first.
+func (s *Server) Route(ctx context.Context, host, path string) (d repeater.RouteDecision, answered bool) {
+	id, answer := s.decisions.register()
+	defer s.decisions.forget(id)
+	if !s.offer(repeater.RouteRequested{Request: id, Host: host, Path: path}) {
+		return queueFull(), true
+	}
+	select {
+	case d := <-answer:
+		return d, true
+	case <-ctx.Done():
+		return nil, false
+	case <-s.ctx.Done():
+		return repeater.Refused{RetryAfter: time.Second, Reason: "this VM has shut down"}, true
+	}
+}
+
 // Submit runs a job and returns its outcome; false when the context ended first.
 func (s *Server) Submit(ctx context.Context, j repeater.Job) (o repeater.Outcome, answered bool) {
 	started := time.Now()
-	id, answer := s.register()
-	defer s.forget(id)
-	select {
-	case s.events <- repeater.JobSubmitted{Request: id, Job: j}:
-	default:
-		return repeater.Refused{Overloaded: true, RetryAfter: time.Second, Reason: "too many events wait for the state machine"}, true
+	id, answer := s.outcomes.register()
+	defer s.outcomes.forget(id)
+	if !s.offer(repeater.JobSubmitted{Request: id, Job: j}) {
+		return queueFull(), true
 	}
 	select {
 	case o := <-answer:
@@ -121,19 +129,18 @@
 	}
 }
 
-func (s *Server) register() (repeater.RequestID, chan repeater.Outcome) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lastRequest++
-	answer := make(chan repeater.Outcome, 1)
-	s.requests[s.lastRequest] = answer
-	return s.lastRequest, answer
+// offer queues an event of a caller for the state machine, unless the queue is full.
+func (s *Server) offer(e repeater.Event) bool {
+	select {
+	case s.events <- e:
+		return true
+	default:
+		return false
+	}
 }
 
-func (s *Server) forget(id repeater.RequestID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.requests, id)
+func queueFull() repeater.Refused {
+	return repeater.Refused{Overloaded: true, RetryAfter: time.Second, Reason: "too many events wait for the state machine"}
 }
 
 // Drain hands over all backend servers to peers and returns when no job is open, or
--- a/internal/repeater/counters.go
+++ b/internal/repeater/counters.go
@@ -19,6 +19,8 @@
 	OwnershipsLost uint64 `json:"fenced"`
 	PeersLost      uint64 `json:"peersLost"`
 	Stalled        uint64 `json:"stalled"` // lagging runs that were stopped
+	Pauses         uint64 `json:"pauses"`  // of this VM
+	RoutesVersion  uint64 `json:"routesVersion"`
 	Queue          int    `json:"queue"`
 	OpenJobs       int    `json:"openJobs"`
 	Owned          int    `json:"ownedServers"`
@@ -28,6 +30,9 @@
 // Counters returns the counts so far and the current levels.
 func (m *Machine) Counters() Counters {
 	c := m.counters
+	if m.routes != nil {
+		c.RoutesVersion = uint64(m.routes.Version)
+	}
 	c.Queue = len(m.queue)
 	c.OpenJobs = len(m.jobs)
 	c.Owned = len(m.owned)
--- a/internal/repeater/directory.go
+++ b/internal/repeater/directory.go
@@ -8,7 +8,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
-	"github.com/peppertrack/peppertrack/internal/router"
 )
 
 // EncodeServers returns the list of backend servers in the form that VMs send
@@ -27,18 +26,6 @@
 	return servers, nil
 }
 
-// changeRoutes puts a routing table in force unless one of the same or a later
-// version is.
-func (m *Machine) changeRoutes(t *router.Table) {
-	if m.routes != nil && t.Version <= m.routes.Version {
-		return
-	}
-	m.routes = t
-	m.routesChangedAt = m.now
-	m.reportChanged = true
-	m.logDecision("routesInForce", "version", t.Version, "routes", len(t.Routes))
-}
-
 // changeServers replaces the list of backend servers unless the new one is
 // older.
 func (m *Machine) changeServers(e ServersChanged) {
--- a/internal/repeater/effect.go
+++ b/internal/repeater/effect.go
@@ -16,6 +16,16 @@
 	Outcome Outcome
 }
 
+// RouteReply answers a RouteRequested.
+type RouteReply struct {
+	Request  RequestID
+	Decision RouteDecision
+}
+
+// ReadRoutes asks for a read of the routes in the store that begins now. It is
+// answered by RoutesChanged, if they are later ones, and RoutesConfirmed.
+type ReadRoutes struct{}
+
 // SendMessage sends a message to a peer.
 type SendMessage struct {
 	To      identifier.Member
@@ -67,6 +77,8 @@
 type Drained struct{}
 
 func (Reply) isEffect()       {}
+func (RouteReply) isEffect()  {}
+func (ReadRoutes) isEffect()  {}
 func (SendMessage) isEffect() {}
 func (Broadcast) isEffect()   {}
 func (StartRun) isEffect()    {}
--- a/internal/repeater/event.go
+++ b/internal/repeater/event.go
@@ -14,6 +14,12 @@
 // Event is an input of a Machine.
 type Event interface{ isEvent() }
 
+// RouteRequested asks for the route of a caller's request.
+type RouteRequested struct {
+	Request    RequestID
+	Host, Path string
+}
+
 // JobSubmitted delivers a caller's request to run a job.
 type JobSubmitted struct {
 	Request RequestID
@@ -43,6 +49,10 @@
 // in force is ignored.
 type RoutesChanged struct{ Table *router.Table }
 
+// RoutesConfirmed reports that the store had no routes at AsOf that are later than
+// those delivered before this event.
+type RoutesConfirmed struct{ AsOf time.Time }
+
 // ServersChanged delivers the backend servers that the store lists at a revision.
 type ServersChanged struct {
 	Revision uint64
@@ -83,12 +93,14 @@
 // job is open.
 type DrainStarted struct{}
 
+func (RouteRequested) isEvent()   {}
 func (JobSubmitted) isEvent()     {}
 func (RequestAbandoned) isEvent() {}
 func (PeerLinked) isEvent()       {}
 func (PeerUnlinked) isEvent()     {}
 func (PeerMessage) isEvent()      {}
 func (RoutesChanged) isEvent()    {}
+func (RoutesConfirmed) isEvent()  {}
 func (ServersChanged) isEvent()   {}
 func (VMsListed) isEvent()        {}
 func (StartAnswered) isEvent()    {}
--- a/internal/repeater/faults_test.go
+++ b/internal/repeater/faults_test.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// TestNoVMGoesBackToOlderRoutes simulates histories with pauses and changes of the
+// routes.
+func TestNoVMGoesBackToOlderRoutes(t *testing.T) {
+	for seed := *firstHistory; seed < *firstHistory+*histories; seed++ {
+		if sim := simulate(seed, routeAheadOfEvents, noDefect); len(sim.violations) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(sim.violations, "\n"), strings.Join(sim.trace, "\n"))
+		}
+	}
+}
+
 // TestNoTaskRunsTwiceRapid lets rapid choose and shrink the seed of the
 // history.
 func TestNoTaskRunsTwiceRapid(t *testing.T) {
@@ -79,6 +89,9 @@
 		for range 20 {
 			sim.schedule(sim.randomDuration(1500*time.Millisecond, length), sim.injectVMCut)
 		}
+	case routeAheadOfEvents, trustOldRoutes:
+		sim.cfg.routeChanges, sim.cfg.routeRequests = 40, 1200
+		sim.routes.schedule(length)
 	case ignorePause, acceptStaleRequests:
 		sim.cfg.maxRunTime = 3 * time.Second
 		for range 20 {
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -52,9 +52,10 @@
 // refusal returns why a job is refused regardless of the load, and whether it
 // is.
 func (m *Machine) refusal(j Job) (Refused, bool) {
+	if r, refused := m.refusalAfterPause(); refused && !m.opts.defects.acceptStaleRequests {
+		return r, true
+	}
 	switch {
-	case m.now.Before(m.refuseUntil) && !m.opts.defects.acceptStaleRequests:
-		return Refused{RetryAfter: refusalAfterPause, Reason: "this VM was paused, and the request may be old"}, true
 	case len(m.jobs) >= maxOpenJobs:
 		return Refused{Overloaded: true, RetryAfter: time.Second, Reason: "too many open jobs"}, true
 	case j.Tasks < 1 || j.Tasks > maxTasksPerJob:
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -18,6 +18,7 @@
 
 	routes          *router.Table
 	routesChangedAt time.Time
+	routesAsOf      time.Time // the store had no later routes then; zero: known from peers alone
 	servers         map[identifier.BackendID]Server
 	serversRevision uint64
 	serverIDs       []identifier.BackendID // sorted
@@ -31,8 +32,11 @@
 	jobs         map[identifier.SubmissionID]*openJob
 	jobOfRequest map[RequestID]identifier.SubmissionID
 	lastJobRun   uint64
+	resumedAt    time.Time // the end of the latest pause of this VM
 	refuseUntil  time.Time // requests that arrive until then may have waited through a pause
 
+	routesUnconfirmed bool // the store may have put later routes in force during the latest pause
+
 	// State as an owner.
 	owned            map[identifier.BackendID]*ownedServer
 	ownedInOrder     []identifier.BackendID             // sorted; nil when owned has changed
@@ -93,6 +97,8 @@
 	clear(m.effects)
 	m.effects = m.effects[:0]
 	switch e := e.(type) {
+	case RouteRequested:
+		m.routeRequest(e)
 	case JobSubmitted:
 		m.submitJob(e)
 	case RequestAbandoned:
@@ -105,6 +111,8 @@
 		m.handlePeerMessage(e)
 	case RoutesChanged:
 		m.changeRoutes(e.Table)
+	case RoutesConfirmed:
+		m.confirmRoutes(e.AsOf)
 	case ServersChanged:
 		m.changeServers(e)
 	case VMsListed:
@@ -134,9 +142,6 @@
 	m.emit(LogDecision{Decision: decision, Fields: fields})
 }
 
-// Routes returns the table in force, or nil.
-func (m *Machine) Routes() *router.Table { return m.routes }
-
 // Ready reports whether the VM can serve new callers.
 func (m *Machine) Ready() bool {
 	if m.draining || m.routes == nil {
@@ -161,6 +166,7 @@
 	m.trackMinority()
 	m.reconcileOwnership()
 	m.tickServers()
+	m.tickRoutes()
 	m.tickJobs()
 	for ref, e := range m.ended {
 		if m.now.Sub(e.at) > endedRetention {
@@ -178,7 +184,9 @@
 // peers may have stopped the runs of its jobs and taken over its servers.
 func (m *Machine) resumeAfterPause(gap time.Duration) {
 	m.logDecision("woken", "gap", gap, "openJobs", len(m.jobs), "ownedServers", len(m.owned))
-	m.refuseUntil = m.now.Add(refusalAfterPause)
+	m.counters.Pauses++
+	m.refuseUntil = m.now.Add(pauseRefusalTime)
+	m.checkRoutes()
 	for _, p := range m.peers {
 		if !p.lost {
 			p.lastHeard = m.now // the pause doesn't count as the peer's silence
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -32,6 +32,7 @@
 	skipOrphanWait      bool // a home reruns orphaned tasks without waiting for their runs to end
 	extendUnclaimed     bool // a new owner extends a server's lease while no home has claimed its runs
 	acceptStaleRequests bool // requests that waited through a pause are accepted
+	trustOldRoutes      bool // requests are decided after a pause by routes that the store has not confirmed
 }
 
 // Bounds are the time limits that backend servers and callers guarantee.
@@ -120,9 +121,12 @@
 	// server: a single failure is usually the task's own fault.
 	failuresToSuspend = 2
 
-	// refusalAfterPause is how long requests are refused after this VM was paused:
+	// pauseRefusalTime is how long requests are refused after this VM was paused:
 	// they may have waited in its socket and been submitted elsewhere since.
-	refusalAfterPause = 300 * time.Millisecond
+	pauseRefusalTime = 300 * time.Millisecond
+	// routesCheckTime bounds how long requests are refused after a pause until the
+	// store confirms the routes: twice the response time of a slow store.
+	routesCheckTime = 500 * time.Millisecond
 
 	// networkAllowance is the part of a job's slack that is reserved for messages
 	// and calls.
--- a/internal/repeater/simdefects_test.go
+++ b/internal/repeater/simdefects_test.go
@@ -19,6 +19,8 @@
 	dropCancels         defect = "a home that gives up a job doesn't stop its runs"
 	replayReports       defect = "a silent peer seems to be alive"
 	ignorePause         defect = "a VM doesn't notice that it was paused"
+	routeAheadOfEvents  defect = "a VM routes requests ahead of the events that wait, its pause among them"
+	trustOldRoutes      defect = "a VM that was paused decides by routes that the store has not confirmed"
 	noFencing           defect = "servers accept calls with a lower token"
 	noExpiry            defect = "starts have no expiry"
 	extendOnFirstPoll   defect = "the first poll of a new owner extends the lease"
@@ -30,6 +32,7 @@
 	const rounds = 400
 	for d, first := range map[defect]uint64{
 		skipOrphanWait: 0, extendUnclaimed: 0, acceptStaleRequests: 0, dropCancels: 0, replayReports: 0, ignorePause: 0,
+		routeAheadOfEvents: 0, trustOldRoutes: 0,
 		noFencing: 120, noExpiry: 0, extendOnFirstPoll: 7,
 	} {
 		t.Run(string(d), func(t *testing.T) {
@@ -57,6 +60,7 @@
 		skipOrphanWait:      d == skipOrphanWait,
 		extendUnclaimed:     d == extendUnclaimed,
 		acceptStaleRequests: d == acceptStaleRequests,
+		trustOldRoutes:      d == trustOldRoutes,
 	}
 }
 
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -22,6 +22,7 @@
 	vms       []*simVM
 	servers   []*simServer
 	jobs      []*simJob
+	routes    *simRoutes
 	cut       map[[2]int]bool // directed links between VMs that lose all messages
 	trace     []string
 
@@ -40,7 +41,10 @@
 	failedRuns   float64
 	maxRunTime   time.Duration // of a task; 0 selects the default
 	neighborhood int           // 0 selects the default
-	defect       defect
+
+	routeChanges  int // of the operator, and pauses among them
+	routeRequests int // whose route is decided
+	defect        defect
 }
 
 const (
@@ -86,6 +90,7 @@
 		start: start,
 		cut:   make(map[[2]int]bool),
 	}
+	sim.routes = newSimRoutes(sim, seed)
 	for i := range cfg.servers {
 		sim.servers = append(sim.servers, newSimServer(sim, i))
 	}
@@ -137,10 +142,6 @@
 	return identifier.FailureDomain(fmt.Sprintf("domain-%d", i%3))
 }
 
-func (sim *simulation) routeTable() *router.Table {
-	return &router.Table{Version: 1, Routes: []router.Route{simRoute()}}
-}
-
 func simRoute() router.Route {
 	return router.Route{
 		Name: "route", Host: "host", Prefix: "/", Pool: simPool, MaxAttempts: 4, Slack: 1.6, Target: 60 * time.Millisecond,
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -19,6 +19,7 @@
 	heldEvents []Event // that arrived while paused
 	lastStepAt time.Time
 	requests   map[RequestID]*simAttempt
+	routes     simVMRoutes
 
 	lastReportFrom identifier.Member // sender of lastReport
 	lastReport     peermessenger.LoadReport
@@ -39,7 +40,8 @@
 	}, MaxNeighborhood: sim.cfg.neighborhood, defects: sim.cfg.defect.machineDefects()})
 	vm.lastStepAt = sim.now
 	vm.requests = make(map[RequestID]*simAttempt)
-	vm.step(RoutesChanged{Table: sim.routeTable()})
+	vm.routes = simVMRoutes{open: make(map[RequestID]time.Time)}
+	vm.step(RoutesChanged{Table: sim.routes.table()})
 	vm.step(ServersChanged{Revision: 1, Servers: sim.serverList()})
 	vm.step(VMsListed{VMs: sim.vmIDs()})
 	vm.tick(vm.process)
@@ -119,9 +121,13 @@
 		}
 		return
 	}
+	if e, ok := e.(RouteRequested); ok && vm.sim.cfg.defect == routeAheadOfEvents {
+		vm.sim.routes.checkDecision(vm, RouteReply{Request: e.Request, Decision: NoRoute{Version: vm.machine.routes.Version}})
+		return
+	}
 	gap := vm.sim.now.Sub(vm.lastStepAt)
 	vm.lastStepAt = vm.sim.now
-	if gap > 180*time.Millisecond && vm.sim.cfg.defect != ignorePause {
+	if gap > simPauseThreshold && vm.sim.cfg.defect != ignorePause {
 		vm.execute(vm.machine.Step(vm.sim.now, Resumed{Gap: gap}))
 	}
 	if vm.machine != nil {
@@ -143,7 +149,7 @@
 		}
 		vm.sim.tracef("vm-%d resumes", vm.index)
 		vm.paused = false
-		held := vm.heldEvents
+		held := vm.sim.routes.shuffleHeld(vm, vm.heldEvents)
 		vm.heldEvents = nil
 		for _, e := range held {
 			vm.step(e)
@@ -162,6 +168,10 @@
 				delete(vm.requests, e.Request)
 				a.handleAnswer(e.Outcome)
 			}
+		case RouteReply:
+			vm.sim.routes.checkDecision(vm, e)
+		case ReadRoutes:
+			vm.sim.routes.read(vm)
 		case SendMessage:
 			vm.send(e.To, e.Message)
 		case Broadcast:
--- a/internal/storefollower/follower.go
+++ b/internal/storefollower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +46,10 @@
 	// silent is noticed after this time.
 	Wait     time.Duration
 	OnChange func(Snapshot) // called after each change; must not keep the map
-	Logger   log.Logger
+	// OnConfirm is called after each successful call to the store with the time at
+	// which the call began: the store then had no later items. It may be nil.
+	OnConfirm func(asOf time.Time)
+	Logger    log.Logger
 }
 
 // Follower keeps a copy of the items under one prefix.
@@ -59,8 +63,15 @@
 	meanRetryPause time.Duration
 	graceEnd       time.Time
 	loaded         bool
+
+	mu             sync.Mutex
+	refreshWanted  bool
+	interruptWatch context.CancelFunc // of the watch in progress; nil: there is none
 }
 
+// errRefresh says that a watch was ended by Refresh.
+var errRefresh = errors.New("a new reading is wanted")
+
 // New returns a Follower without items.
 func New(opts Options) *Follower {
 	return &Follower{opts: opts, items: make(map[string]Item), keptUntil: make(map[string]time.Time), meanRetryPause: firstMeanRetryPause}
@@ -75,6 +86,9 @@
 		}
 		for ctx.Err() == nil {
 			err := f.watch(ctx)
+			if errors.Is(err, errRefresh) {
+				break
+			}
 			if errors.Is(err, ErrHistoryLost) {
 				_ = f.opts.Logger.Log("level", "info", "msg", "reading all items again", "prefix", f.opts.Prefix, "cause", err)
 				break
@@ -90,9 +104,37 @@
 	return nil
 }
 
+// Refresh makes the Follower read all items with a call that begins after this one,
+// without waiting for the watch in progress. It is safe for concurrent use.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refreshWanted = true
+	if f.interruptWatch != nil {
+		f.interruptWatch()
+	}
+}
+
+// setInterrupt sets what Refresh calls, and reports whether a refresh is wanted.
+func (f *Follower) setInterrupt(interrupt context.CancelFunc) (refreshWanted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interruptWatch = interrupt
+	return f.refreshWanted
+}
+
+// beginLoad records that a refresh is no longer wanted, and returns the time.
+func (f *Follower) beginLoad() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refreshWanted = false
+	return time.Now()
+}
+
 // load reads all items page by page.
 func (f *Follower) load(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "reading items under %s", f.opts.Prefix) }()
+	began := f.beginLoad()
 	next := make(map[string]Item)
 	var revision Revision
 	after := ""
@@ -117,6 +159,7 @@
 	}
 	f.handleSuccess() // before merge, which needs the time at which the outage ended
 	f.merge(next, revision)
+	f.confirm(began)
 	return nil
 }
 
@@ -150,7 +193,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
+	if f.setInterrupt(cancel) {
+		return errRefresh
+	}
+	began := time.Now()
 	changes, err := f.opts.Store.Watch(ctx, f.opts.Prefix, f.revision, wait)
+	if refreshWanted := f.setInterrupt(nil); err != nil && refreshWanted {
+		return errRefresh
+	}
 	if err != nil {
 		return err
 	}
@@ -162,9 +212,16 @@
 	if changed {
 		f.opts.OnChange(Snapshot{Items: f.items, Revision: f.revision})
 	}
+	f.confirm(began)
 	return nil
 }
 
+func (f *Follower) confirm(asOf time.Time) {
+	if f.opts.OnConfirm != nil {
+		f.opts.OnConfirm(asOf)
+	}
+}
+
 // apply applies one change and reports whether it changed the items. Within
 // outageGrace after an outage, deleted items are kept.
 func (f *Follower) apply(item Item) bool {
--- a/internal/storefollower/follower_test.go
+++ b/internal/storefollower/follower_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 	history  []Item
 	down     bool
 	calls    int
+	reads    int // calls of Range
 }
 
 // withLock runs change while it holds the lock.
@@ -53,6 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
+	s.reads++
 	if s.down {
 		return Page{}, errors.New("down")
 	}
@@ -101,6 +104,12 @@
 // withFollower runs a scenario on a fake store with a running Follower. The function
 // values returns the Follower's keys and values, such as "a1 b1".
 func withFollower(t *testing.T, scenario func(s *fakeStore, values func() string)) {
+	t.Helper()
+	runFollower(t, Options{}, func(_ *Follower, s *fakeStore, values func() string) { scenario(s, values) })
+}
+
+// runFollower is withFollower with options that the scenario needs, and the Follower.
+func runFollower(t *testing.T, opts Options, scenario func(f *Follower, s *fakeStore, values func() string)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeStore{revision: 10, items: make(map[string]Item)}
@@ -108,19 +117,18 @@
 			s.put(key, "1")
 		}
 		var latest Snapshot
-		f := New(Options{
-			Store: s, Prefix: "p/", MinInterval: 50 * time.Millisecond, Wait: time.Second, Logger: log.NewNopLogger(),
-			OnChange: func(snapshot Snapshot) {
-				s.withLock(func() { latest = Snapshot{Items: maps.Clone(snapshot.Items), Revision: snapshot.Revision} })
-			},
-		})
+		opts.Store, opts.Prefix, opts.MinInterval, opts.Wait, opts.Logger = s, "p/", 50*time.Millisecond, time.Second, log.NewNopLogger()
+		opts.OnChange = func(snapshot Snapshot) {
+			s.withLock(func() { latest = Snapshot{Items: maps.Clone(snapshot.Items), Revision: snapshot.Revision} })
+		}
+		f := New(opts)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
 			_ = f.Run(ctx)
 			close(done)
 		}()
-		scenario(s, func() string {
+		scenario(f, s, func() string {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			var list []string
@@ -200,3 +208,57 @@
 		}
 	})
 }
+
+// TestRefreshReadsAtOnce checks that a refresh ends the watch in progress, and that the
+// store confirms the items as of a time after the refresh was asked for.
+func TestRefreshReadsAtOnce(t *testing.T) {
+	confirmed := make(chan time.Time, 100)
+	opts := Options{OnConfirm: func(asOf time.Time) { confirmed <- asOf }}
+	runFollower(t, opts, func(f *Follower, s *fakeStore, values func() string) {
+		time.Sleep(200 * time.Millisecond)
+		for len(confirmed) > 0 {
+			<-confirmed
+		}
+		asked := time.Now()
+		f.Refresh()
+		time.Sleep(100 * time.Millisecond)
+		select {
+		case asOf := <-confirmed:
+			if asOf.Before(asked) {
+				t.Errorf("confirmed as of %v before the refresh", asked.Sub(asOf))
+			}
+		default:
+			t.Error("not confirmed within 100 ms, while a watch waits a second")
+		}
+		s.withLock(func() {
+			if s.reads != 4 { // two pages each
+				t.Errorf("%d reads, want 4", s.reads)
+			}
+		})
+		s.put("p/b", "2")
+		time.Sleep(200 * time.Millisecond)
+		expectValues(t, values, "a1 b2 c1")
+	})
+}
+
+// TestOutageConfirmsNothing checks that calls that fail don't confirm the items.
+func TestOutageConfirmsNothing(t *testing.T) {
+	var confirmations atomic.Int64
+	opts := Options{OnConfirm: func(time.Time) { confirmations.Add(1) }}
+	runFollower(t, opts, func(f *Follower, s *fakeStore, _ func() string) {
+		time.Sleep(100 * time.Millisecond)
+		s.withLock(func() { s.down = true })
+		time.Sleep(2 * time.Second)
+		before := confirmations.Load()
+		f.Refresh()
+		time.Sleep(5 * time.Second)
+		if n := confirmations.Load() - before; n != 0 {
+			t.Errorf("%d confirmations during the outage", n)
+		}
+		s.withLock(func() { s.down = false })
+		time.Sleep(3 * time.Second)
+		if confirmations.Load() == before {
+			t.Error("not confirmed after the outage")
+		}
+	})
+}
