fix(jobserver): tell the balancer that a VM that resumed isn't ready yet

What callers saw: a VM that woke up answered the balancer's check with 200 from before its freeze, got new callers at once, and refused them with 503 for 0.3 s or more.

Change: the check is an event of the state machine; a VM is not ready while it refuses what may be old. The three kinds of questions to the state machine share one function. Evidence: the case 'a VM that resumed isn't ready while it refuses requests' of TestNoAnswerByRoutesOfBeforeAFreeze got 200 instead of 503 during the freeze; it passes. Conclusion: no answer to a caller or the balancer is read from a published copy any more; what is left are the counters of the metrics.

--- a/internal/jobserver/answers.go
+++ b/internal/jobserver/answers.go
@@ -1,8 +1,11 @@
 package jobserver
 
 import (
+	"context"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/peppertrack/peppertrack/internal/repeater"
 )
 
@@ -42,3 +45,28 @@
 		waiting <- answer // doesn't block: each request is answered once, and the channel has room for one
 	}
 }
+
+var (
+	errQueueFull = errors.New("too many events wait for the state machine")
+	errClosed    = errors.New("the server is closed")
+)
+
+// ask passes a request to the state machine as an event and returns its answer. It
+// fails with errQueueFull, errClosed or the context's error.
+func ask[T any](ctx context.Context, s *Server, a *answers[T], event func(repeater.RequestID) repeater.Event) (answer T, err error) {
+	id, waiting := a.register()
+	defer a.forget(id)
+	select {
+	case s.events <- event(id):
+	default:
+		return answer, errQueueFull
+	}
+	select {
+	case answer := <-waiting:
+		return answer, nil
+	case <-ctx.Done():
+		return answer, ctx.Err()
+	case <-s.ctx.Done():
+		return answer, errClosed
+	}
+}
--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -39,7 +39,6 @@
 		s.execute(effect)
 	}
 	if _, ok := e.(repeater.Ticked); ok {
-		s.ready.Store(m.Ready())
 		c := m.Counters()
 		s.counters.Store(&c)
 	}
@@ -51,6 +50,8 @@
 		s.outcomes.deliver(e.Request, e.Outcome)
 	case repeater.RouteReply:
 		s.decisions.deliver(e.Request, e.Decision)
+	case repeater.ReadinessReply:
+		s.readiness.deliver(e.Request, e.Ready)
 	case repeater.ReadRoutes:
 		if s.opts.ReadRoutes != nil {
 			s.opts.ReadRoutes()
@@ -68,7 +69,6 @@
 	case repeater.LogDecision:
 		_ = s.opts.Logger.Log(append([]any{"level", "info", "decision", e.Decision}, e.Fields...)...)
 	case repeater.Drained:
-		s.ready.Store(false)
 		close(s.drained)
 	}
 }
--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -30,11 +30,10 @@
 	drained   chan struct{}
 	latencies *latencies
 
-	ready    atomic.Bool
-	counters atomic.Pointer[repeater.Counters]
-
+	counters  atomic.Pointer[repeater.Counters]
 	outcomes  *answers[repeater.Outcome]
 	decisions *answers[repeater.RouteDecision]
+	readiness *answers[bool]
 }
 
 // New returns a Server that does nothing before Start.
@@ -49,6 +48,7 @@
 		latencies: newLatencies(),
 		outcomes:  newAnswers[repeater.Outcome](),
 		decisions: newAnswers[repeater.RouteDecision](),
+		readiness: newAnswers[bool](),
 	}
 	s.linker = peerlinker.New(peerlinker.Options{
 		Self:   peerlinker.Peer{Member: opts.Self, Domain: opts.Domain, Address: opts.PeerAddress},
@@ -74,9 +74,6 @@
 // Connect links to a peer at an address.
 func (s *Server) Connect(address string) { s.linker.Connect(address) }
 
-// Ready reports whether this VM can serve new callers.
-func (s *Server) Ready() bool { return s.ready.Load() }
-
 // SetRoutes puts a route table in force unless a later one is in force.
 func (s *Server) SetRoutes(t *router.Table) { s.post(repeater.RoutesChanged{Table: t}) }
 
@@ -94,53 +91,50 @@
 
 // Route decides the route of a request; false when the context ended first.
 func (s *Server) Route(ctx context.Context, host, path string) (d repeater.RouteDecision, answered bool) {
-	id, answer := s.decisions.register()
-	defer s.decisions.forget(id)
-	if !s.offer(repeater.RouteRequested{Request: id, Host: host, Path: path}) {
+	d, err := ask(ctx, s, s.decisions, func(id repeater.RequestID) repeater.Event {
+		return repeater.RouteRequested{Request: id, Host: host, Path: path}
+	})
+	switch {
+	case errors.Is(err, errQueueFull):
 		return queueFull(), true
-	}
-	select {
-	case d := <-answer:
-		return d, true
-	case <-ctx.Done():
-		return nil, false
-	case <-s.ctx.Done():
+	case errors.Is(err, errClosed):
 		return repeater.Refused{RetryAfter: time.Second, Reason: "this VM has shut down"}, true
 	}
+	return d, err == nil
 }
 
 // Submit runs a job and returns its outcome; false when the context ended first.
 func (s *Server) Submit(ctx context.Context, j repeater.Job) (o repeater.Outcome, answered bool) {
 	started := time.Now()
-	id, answer := s.outcomes.register()
-	defer s.outcomes.forget(id)
-	if !s.offer(repeater.JobSubmitted{Request: id, Job: j}) {
+	var request repeater.RequestID
+	o, err := ask(ctx, s, s.outcomes, func(id repeater.RequestID) repeater.Event {
+		request = id
+		return repeater.JobSubmitted{Request: id, Job: j}
+	})
+	switch {
+	case errors.Is(err, errQueueFull):
 		return queueFull(), true
-	}
-	select {
-	case o := <-answer:
-		s.latencies.recordJob(o, time.Since(started))
-		return o, true
-	case <-ctx.Done():
-		s.post(repeater.RequestAbandoned{Request: id})
-		return nil, false
-	case <-s.ctx.Done():
+	case errors.Is(err, errClosed):
 		return repeater.Lost{Cause: "this VM has shut down"}, true
+	case err != nil:
+		s.post(repeater.RequestAbandoned{Request: request})
+		return nil, false
 	}
+	s.latencies.recordJob(o, time.Since(started))
+	return o, true
 }
 
-// offer queues an event of a caller for the state machine, unless the queue is full.
-func (s *Server) offer(e repeater.Event) bool {
-	select {
-	case s.events <- e:
-		return true
-	default:
-		return false
-	}
+// Ready reports whether this VM can serve new callers. It can't if the context ends
+// before that is known.
+func (s *Server) Ready(ctx context.Context) bool {
+	ready, err := ask(ctx, s, s.readiness, func(id repeater.RequestID) repeater.Event {
+		return repeater.ReadinessRequested{Request: id}
+	})
+	return err == nil && ready
 }
 
 func queueFull() repeater.Refused {
-	return repeater.Refused{Overloaded: true, RetryAfter: time.Second, Reason: "too many events wait for the state machine"}
+	return repeater.Refused{Overloaded: true, RetryAfter: time.Second, Reason: errQueueFull.Error()}
 }
 
 // Drain hands over all backend servers to peers and returns when no job is open, or
--- a/internal/repeater/effect.go
+++ b/internal/repeater/effect.go
@@ -22,6 +22,12 @@
 	Decision RouteDecision
 }
 
+// ReadinessReply answers a ReadinessRequested.
+type ReadinessReply struct {
+	Request RequestID
+	Ready   bool
+}
+
 // ReadRoutes asks for a read of the routes in the store that begins now. It is
 // answered by RoutesChanged, if they are later ones, and RoutesConfirmed.
 type ReadRoutes struct{}
@@ -76,13 +82,14 @@
 // Drained reports that no server is left to hand over and no job to answer.
 type Drained struct{}
 
-func (Reply) isEffect()       {}
-func (RouteReply) isEffect()  {}
-func (ReadRoutes) isEffect()  {}
-func (SendMessage) isEffect() {}
-func (Broadcast) isEffect()   {}
-func (StartRun) isEffect()    {}
-func (StopRun) isEffect()     {}
-func (Poll) isEffect()        {}
-func (LogDecision) isEffect() {}
-func (Drained) isEffect()     {}
+func (Reply) isEffect()          {}
+func (RouteReply) isEffect()     {}
+func (ReadinessReply) isEffect() {}
+func (ReadRoutes) isEffect()     {}
+func (SendMessage) isEffect()    {}
+func (Broadcast) isEffect()      {}
+func (StartRun) isEffect()       {}
+func (StopRun) isEffect()        {}
+func (Poll) isEffect()           {}
+func (LogDecision) isEffect()    {}
+func (Drained) isEffect()        {}
--- a/internal/repeater/event.go
+++ b/internal/repeater/event.go
@@ -20,6 +20,9 @@
 	Host, Path string
 }
 
+// ReadinessRequested asks whether the VM can serve new callers.
+type ReadinessRequested struct{ Request RequestID }
+
 // JobSubmitted delivers a caller's request to run a job.
 type JobSubmitted struct {
 	Request RequestID
@@ -93,19 +96,20 @@
 // job is open.
 type DrainStarted struct{}
 
-func (RouteRequested) isEvent()   {}
-func (JobSubmitted) isEvent()     {}
-func (RequestAbandoned) isEvent() {}
-func (PeerLinked) isEvent()       {}
-func (PeerUnlinked) isEvent()     {}
-func (PeerMessage) isEvent()      {}
-func (RoutesChanged) isEvent()    {}
-func (RoutesConfirmed) isEvent()  {}
-func (ServersChanged) isEvent()   {}
-func (VMsListed) isEvent()        {}
-func (StartAnswered) isEvent()    {}
-func (StopAnswered) isEvent()     {}
-func (PollAnswered) isEvent()     {}
-func (Ticked) isEvent()           {}
-func (Resumed) isEvent()          {}
-func (DrainStarted) isEvent()     {}
+func (RouteRequested) isEvent()     {}
+func (ReadinessRequested) isEvent() {}
+func (JobSubmitted) isEvent()       {}
+func (RequestAbandoned) isEvent()   {}
+func (PeerLinked) isEvent()         {}
+func (PeerUnlinked) isEvent()       {}
+func (PeerMessage) isEvent()        {}
+func (RoutesChanged) isEvent()      {}
+func (RoutesConfirmed) isEvent()    {}
+func (ServersChanged) isEvent()     {}
+func (VMsListed) isEvent()          {}
+func (StartAnswered) isEvent()      {}
+func (StopAnswered) isEvent()       {}
+func (PollAnswered) isEvent()       {}
+func (Ticked) isEvent()             {}
+func (Resumed) isEvent()            {}
+func (DrainStarted) isEvent()       {}
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -99,6 +99,8 @@
 	switch e := e.(type) {
 	case RouteRequested:
 		m.routeRequest(e)
+	case ReadinessRequested:
+		m.emit(ReadinessReply{Request: e.Request, Ready: m.ready()})
 	case JobSubmitted:
 		m.submitJob(e)
 	case RequestAbandoned:
@@ -142,11 +144,14 @@
 	m.emit(LogDecision{Decision: decision, Fields: fields})
 }
 
-// Ready reports whether the VM can serve new callers.
-func (m *Machine) Ready() bool {
+// ready reports whether the VM can serve new callers.
+func (m *Machine) ready() bool {
 	if m.draining || m.routes == nil {
 		return false
 	}
+	if _, refused := m.refusalAfterPause(); refused {
+		return false
+	}
 	for _, o := range m.owned {
 		if o.usable(m.now) {
 			return true
