fix(repeater): judge by the servers at the latest tick whether a VM is ready

Cause: readiness became true with the first server of a takeover, while the others were still to answer; read at each tick before, it had counted them together. Change: a tick records whether a server is usable; the check reads that, and the refusals after a pause as of now. Conclusion: the balancer sees the same readiness as before, and none from before a pause.

--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -59,6 +59,7 @@
 	lastReportNumber uint64
 	reportedAt       time.Time
 	reportChanged    bool
+	serverUsable     bool // at the latest tick, so that the servers of one takeover count together
 	draining         bool
 	drained          bool
 	counters         Counters
@@ -146,12 +147,14 @@
 
 // ready reports whether the VM can serve new callers.
 func (m *Machine) ready() bool {
-	if m.draining || m.routes == nil {
-		return false
-	}
-	if _, refused := m.refusalAfterPause(); refused {
+	if _, refused := m.refusalAfterPause(); refused || m.draining || m.routes == nil {
 		return false
 	}
+	return m.serverUsable
+}
+
+// anyServerUsable reports whether a job can run at this VM or a peer.
+func (m *Machine) anyServerUsable() bool {
 	for _, o := range m.owned {
 		if o.usable(m.now) {
 			return true
@@ -173,6 +176,7 @@
 	m.tickServers()
 	m.tickRoutes()
 	m.tickJobs()
+	m.serverUsable = m.anyServerUsable()
 	for ref, e := range m.ended {
 		if m.now.Sub(e.at) > endedRetention {
 			delete(m.ended, ref)
