fix(dispatcher): refuse jobs after a pause until the profiles are confirmed

What callers saw: nothing reported. On the product's own interface an entry VM that was paused refused a job of a profile that had been created meanwhile as unknownProfile, which tells the caller not to come back, and ran jobs of one that had been retired. Change: the dispatcher's loop reports a pause of over a second; the machine then refuses jobs as noCapacity, 0.5 s at most, until the keeper has read the book with a call that began after the pause, also where another VM watches the store. The pause detector moves out of jobserver into a package for both loops. Measured: tests of dispatcher, profilekeeper, profilefollower, systemrunner, platform and cmd/peppertrack pass with -race. No process was paused for this. Conclusion: both interfaces judge by confirmed knowledge after a pause.

--- a/internal/dispatcher/check.go
+++ b/internal/dispatcher/check.go
@@ -19,6 +19,13 @@
 			RetryAfter: unreachableRetryAfter,
 		}
 	}
+	if m.profilesOutdated {
+		return &declarer.Refused{
+			Cause:      declarer.NoCapacity,
+			Detail:     "this entry VM was paused, and its profiles may be old",
+			RetryAfter: profilesCheckTime,
+		}
+	}
 	profile, ok := m.profiles[j.job.Profile]
 	if !ok {
 		return &declarer.Refused{Cause: declarer.UnknownProfile, Detail: fmt.Sprintf("no profile has the name %q", j.job.Profile)}
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -19,6 +19,7 @@
 	StartsRefused    atomic.Int64
 	LateResults      atomic.Int64 // outcomes after the end of their job: not used for it, but passed on to limiter, placer and quarantiner
 	StopRequests     atomic.Int64 // messages that stop tasks, one per backend server and tick
+	Pauses           atomic.Int64 // of this process
 	ActiveJobs       atomic.Int64 // gauge: jobs accepted here that have not ended
 	QueuedTasks      atomic.Int64 // gauge
 	RunningTasks     atomic.Int64 // gauge
@@ -41,6 +42,7 @@
 		"startsRefused":    c.StartsRefused.Load(),
 		"lateResults":      c.LateResults.Load(),
 		"stopRequests":     c.StopRequests.Load(),
+		"pauses":           c.Pauses.Load(),
 		"runningJobs":      c.ActiveJobs.Load(),
 		"queuedTasks":      c.QueuedTasks.Load(),
 		"runningTasks":     c.RunningTasks.Load(),
--- a/internal/dispatcher/effect.go
+++ b/internal/dispatcher/effect.go
@@ -51,6 +51,10 @@
 	LongestRunTime time.Duration // of a task of the job; 0 when none ran
 }
 
+// ReadProfiles asks for a read of the profiles in the store that begins now. It is
+// answered by ProfilesAdopted, if they are later ones, and ProfilesConfirmed.
+type ReadProfiles struct{}
+
 // RecordsCaughtUp reports that this entry VM holds all claim records of its shards
 // in an epoch.
 type RecordsCaughtUp struct{ Epoch identifier.Epoch }
@@ -71,6 +75,7 @@
 func (StartTask) isEffect()       {}
 func (StopTasks) isEffect()       {}
 func (JobEnded) isEffect()        {}
+func (ReadProfiles) isEffect()    {}
 func (RecordsCaughtUp) isEffect() {}
 func (LaterEpochSeen) isEffect()  {}
 func (Drained) isEffect()         {}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -76,6 +76,13 @@
 	Profiles map[identifier.ProfileName]profileparser.Profile
 }
 
+// ProfilesConfirmed reports that the store had no profiles at AsOf that are later than
+// those adopted before this event.
+type ProfilesConfirmed struct{ AsOf time.Time }
+
+// Resumed reports that this process was paused.
+type Resumed struct{ Gap time.Duration }
+
 // RosterAdopted puts a roster of this failure domain in force.
 type RosterAdopted struct{ Roster *enroller.Roster }
 
@@ -109,6 +116,8 @@
 func (BackendsListed) isEvent()       {}
 func (BackendUsageReported) isEvent() {}
 func (ProfilesAdopted) isEvent()      {}
+func (ProfilesConfirmed) isEvent()    {}
+func (Resumed) isEvent()              {}
 func (RosterAdopted) isEvent()        {}
 func (MemberTerminated) isEvent()     {}
 func (PlatformReachable) isEvent()    {}
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -39,6 +39,8 @@
 	effects     []Effect
 
 	profiles          map[identifier.ProfileName]profileparser.Profile // nil: not known yet
+	resumedAt         time.Time                                        // the end of the latest pause of this process
+	profilesOutdated  bool                                             // the store may have later profiles since that pause
 	platformReachable bool
 	draining          bool
 	recordsHandedOver bool // the claimer's records are on peers, as a shutdown requires
@@ -120,6 +122,10 @@
 		m.stepPlacer(now, placer.UsageReported{Backend: e.Backend, Used: e.Used, Leaving: e.Leaving})
 	case ProfilesAdopted:
 		m.profiles = e.Profiles
+	case ProfilesConfirmed:
+		m.confirmProfiles(e.AsOf)
+	case Resumed:
+		m.checkProfiles(now)
 	case RosterAdopted:
 		m.stepClaimer(now, claimer.RosterAdopted{Roster: e.Roster})
 	case MemberTerminated:
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -61,6 +61,9 @@
 	// unlinkedPeerRetention is how long an entry VM whose link was lost is assumed to
 	// keep running behind a network partition.
 	unlinkedPeerRetention = 10 * time.Minute
+	// profilesCheckTime bounds how long jobs are refused after a pause until the store
+	// confirms the profiles: twice the response time of a slow store.
+	profilesCheckTime = 500 * time.Millisecond
 	// unreachableRetryAfter is the delay after which a caller should retry when the
 	// home of its submission, or something that its job needs, can't be reached.
 	unreachableRetryAfter = time.Second
--- a/internal/dispatcher/tick.go
+++ b/internal/dispatcher/tick.go
@@ -14,6 +14,7 @@
 
 // tick does the work that has become due since the last tick.
 func (m *Machine) tick(now time.Time) {
+	m.tickProfilesCheck(now)
 	m.endOverdueJobs(now)
 	m.answerExpiredWaits(now)
 	m.flushStops()
--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/pausedetector"
 	"github.com/peppertrack/peppertrack/internal/repeater"
 )
 
@@ -15,7 +16,7 @@
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	pauses := newPauseDetector()
+	pauses := pausedetector.New()
 	for {
 		var e repeater.Event
 		select {
@@ -25,7 +26,7 @@
 		case <-ticker.C:
 			e = repeater.Ticked{}
 		}
-		if gap := pauses.gap(); gap > pauseThreshold {
+		if gap := pauses.Gap(); gap > pauseThreshold {
 			s.step(m, repeater.Resumed{Gap: gap})
 		}
 		s.step(m, e)
--- a/internal/jobserver/pause.go
+++ b/internal/pausedetector/detector.go
@@ -1,4 +1,5 @@
-package jobserver
+// Package pausedetector tells an event loop that its process did not run for a while.
+package pausedetector
 
 import (
 	"time"
@@ -6,20 +7,22 @@
 	"golang.org/x/sys/unix"
 )
 
-// pauseDetector detects that the process did not run for a while. The monotonic
-// clock stands still while a VM is suspended, so the boot-time clock, which runs
-// on, is read too.
-type pauseDetector struct {
+// Detector measures the time between two iterations of a loop. The monotonic clock
+// stands still while a VM is suspended, so the boot-time clock, which runs on, is read
+// too. It is not safe for concurrent use.
+type Detector struct {
 	lastMonotonic time.Time
 	lastBoot      time.Duration
 }
 
-func newPauseDetector() *pauseDetector {
-	return &pauseDetector{lastMonotonic: time.Now(), lastBoot: bootTime()}
+// New returns a Detector whose first interval begins now.
+func New() *Detector {
+	return &Detector{lastMonotonic: time.Now(), lastBoot: bootTime()}
 }
 
-// gap returns the time since its last call, by the clock that advanced more.
-func (d *pauseDetector) gap() time.Duration {
+// Gap returns the time since its last call, or since New, by the clock that advanced
+// more.
+func (d *Detector) Gap() time.Duration {
 	now, boot := time.Now(), bootTime()
 	gap := now.Sub(d.lastMonotonic)
 	if boot > 0 && d.lastBoot > 0 {
--- a/internal/profilefollower/follower.go
+++ b/internal/profilefollower/follower.go
@@ -33,6 +33,9 @@
 	Send func(to identifier.Member, m peermessenger.Message)
 	// Adopted is called, from one goroutine, with each book that is put in force.
 	Adopted func(profilekeeper.Book)
+	// Confirmed is called, from the same goroutine, when a read of the store that
+	// Verify asked for shows that no later book was there at asOf.
+	Confirmed func(asOf time.Time)
 }
 
 // Follower runs one Keeper. Its methods are safe for concurrent use.
@@ -96,6 +99,10 @@
 // dropped if the queue is full.
 func (f *Follower) BookSeen(b profilekeeper.Book) { f.enqueue(profilekeeper.BookWritten{Book: b}) }
 
+// Verify queues a read of the store that begins after this call. It is dropped if the
+// queue is full.
+func (f *Follower) Verify() { f.enqueue(profilekeeper.VerifyRequested{}) }
+
 // PeersChanged passes on the full set of peers to which there are links. It
 // replaces a set that is still waiting.
 func (f *Follower) PeersChanged(peers []profilekeeper.Peer) {
@@ -158,6 +165,8 @@
 		f.opts.Send(e.To, e.Message)
 	case profilekeeper.BookAdopted:
 		f.opts.Adopted(e.Book)
+	case profilekeeper.BookConfirmed:
+		f.opts.Confirmed(e.AsOf)
 	case profilekeeper.CancelStoreCall:
 		f.cancelCall()
 		f.outcome = nil
--- a/internal/profilekeeper/effect.go
+++ b/internal/profilekeeper/effect.go
@@ -1,12 +1,14 @@
 package profilekeeper
 
 import (
+	"time"
+
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
 
 // Effect is an action that a Keeper requests or reports: Send, ReadBook,
-// WatchBook, CancelStoreCall or BookAdopted.
+// WatchBook, CancelStoreCall, BookAdopted or BookConfirmed.
 type Effect interface{ isEffect() }
 
 // Send sends a message to a peer. The message may be lost.
@@ -32,6 +34,11 @@
 // BookAdopted reports that a newer book is now in force.
 type BookAdopted struct{ Book Book }
 
+// BookConfirmed reports that the book in force was the newest in the store at AsOf. It
+// answers a VerifyRequested.
+type BookConfirmed struct{ AsOf time.Time }
+
+func (BookConfirmed) isEffect()   {}
 func (Send) isEffect()            {}
 func (ReadBook) isEffect()        {}
 func (WatchBook) isEffect()       {}
--- a/internal/profilekeeper/event.go
+++ b/internal/profilekeeper/event.go
@@ -9,7 +9,7 @@
 type Revision uint64
 
 // Event is an input of a Keeper: BookRead, BookWritten, StoreFailed,
-// PeerMessage, PeersChanged or Tick.
+// VerifyRequested, PeerMessage, PeersChanged or Tick.
 type Event interface{ isEvent() }
 
 // BookRead reports the store's answer to ReadBook or WatchBook.
@@ -26,6 +26,10 @@
 // a valid book.
 type StoreFailed struct{}
 
+// VerifyRequested asks for a read of the store that begins now, also if another VM
+// watches the store.
+type VerifyRequested struct{}
+
 // PeerMessage reports a message from a peer.
 type PeerMessage struct {
 	From    identifier.Member
@@ -38,12 +42,13 @@
 // Tick triggers time-based work. It is due every TickInterval.
 type Tick struct{}
 
-func (BookRead) isEvent()     {}
-func (BookWritten) isEvent()  {}
-func (StoreFailed) isEvent()  {}
-func (PeerMessage) isEvent()  {}
-func (PeersChanged) isEvent() {}
-func (Tick) isEvent()         {}
+func (BookRead) isEvent()        {}
+func (BookWritten) isEvent()     {}
+func (StoreFailed) isEvent()     {}
+func (VerifyRequested) isEvent() {}
+func (PeerMessage) isEvent()     {}
+func (PeersChanged) isEvent()    {}
+func (Tick) isEvent()            {}
 
 // Peer is another entry VM process and its failure domain.
 type Peer struct {
--- a/internal/profilekeeper/keeper.go
+++ b/internal/profilekeeper/keeper.go
@@ -75,6 +75,7 @@
 	revision    Revision
 	failures    int // consecutive failed calls
 	nextCall    time.Time
+	verifyingAt time.Time // when the read that answers a VerifyRequested began; zero: there is none
 }
 
 // pendingPull is a scheduled or sent pull: a request to a peer for a newer book.
@@ -123,6 +124,8 @@
 		k.onBookWritten(now, e)
 	case StoreFailed:
 		k.onStoreFailed(now)
+	case VerifyRequested:
+		k.verify(now)
 	case PeerMessage:
 		k.onMessage(now, e)
 	case PeersChanged:
--- a/internal/profilekeeper/session_test.go
+++ b/internal/profilekeeper/session_test.go
@@ -33,6 +33,8 @@
 	switch e := effect.(type) {
 	case profilekeeper.BookAdopted:
 		what = fmt.Sprintf("adopts version %d", e.Book.Version)
+	case profilekeeper.BookConfirmed:
+		what = fmt.Sprintf("knows that its book was the newest %v ago", s.simulation.now.Sub(e.AsOf))
 	case profilekeeper.ReadBook:
 		what = "reads the store"
 	case profilekeeper.CancelStoreCall:
@@ -84,6 +86,8 @@
 	case "resume":
 		v.paused = false
 		sim.updateLinks()
+	case "verify":
+		sim.step(v, profilekeeper.VerifyRequested{})
 	case "write":
 		p := profileparser.Default()
 		p.Name = identifier.ProfileName(parts[2])
--- a/internal/profilekeeper/store.go
+++ b/internal/profilekeeper/store.go
@@ -17,16 +17,37 @@
 	}
 }
 
+// verify reads the book in the store, in place of a call in progress.
+func (k *Keeper) verify(now time.Time) {
+	if k.watch.callPending {
+		k.emit(CancelStoreCall{})
+	}
+	k.watch.callPending = true
+	k.watch.verifyingAt = now
+	k.counters.StoreCalls++
+	k.emit(ReadBook{})
+}
+
 func (k *Keeper) onBookRead(now time.Time, e BookRead) {
 	if !k.watch.callPending {
 		return // the call was cancelled
 	}
 	k.watch.callPending = false
-	k.watch.healthy = true
+	k.watch.healthy = k.watch.elected
 	k.watch.failures = 0
 	k.watch.revision = e.Revision
 	k.watch.nextCall = now.Add(minStoreCallDelay)
 	k.adoptFromStore(now, e.Book)
+	k.endVerification(e.Book)
+}
+
+// endVerification reports that the store has confirmed the book in force, unless it
+// answered with an older one.
+func (k *Keeper) endVerification(read Book) {
+	if !k.watch.verifyingAt.IsZero() && read.Version == k.book.Version {
+		k.emit(BookConfirmed{AsOf: k.watch.verifyingAt})
+	}
+	k.watch.verifyingAt = time.Time{}
 }
 
 func (k *Keeper) onBookWritten(now time.Time, e BookWritten) { k.adoptFromStore(now, e.Book) }
@@ -55,6 +76,7 @@
 	}
 	w.callPending = false
 	w.healthy = false
+	w.verifyingAt = time.Time{}
 	w.failures++
 	k.counters.StoreFailures++
 	w.nextCall = now.Add(k.backoff(w.failures))
--- a/internal/runner/effects.go
+++ b/internal/runner/effects.go
@@ -16,6 +16,8 @@
 		r.backends.start(e)
 	case dispatcher.StopTasks:
 		r.backends.stop(e)
+	case dispatcher.ReadProfiles:
+		r.follower.Verify()
 	case dispatcher.RecordsCaughtUp:
 		r.rosterQueue.offer(enroller.RecordsCaughtUp{Epoch: e.Epoch})
 	case dispatcher.LaterEpochSeen:
--- a/internal/runner/options.go
+++ b/internal/runner/options.go
@@ -45,6 +45,7 @@
 	rosterTickInterval    = 100 * time.Millisecond
 	serverHeaderTimeout   = 5 * time.Second
 	shutdownHTTPTimeout   = 2 * time.Second
+	pauseThreshold        = time.Second     // between two steps of the dispatcher; profiles are in force within several seconds
 	suspectAfter          = 3 * time.Second // of silence before a member leaves the roster
 	busyRetryAfter        = 250 * time.Millisecond
 	certificateInterval   = 10 * time.Second
--- a/internal/runner/profiles.go
+++ b/internal/runner/profiles.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"time"
+
 	"github.com/peppertrack/peppertrack/internal/dispatcher"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
@@ -19,6 +21,9 @@
 		Store:   r.platform,
 		Send:    func(to identifier.Member, m peermessenger.Message) { r.linker.Send(to, m) },
 		Adopted: r.adoptBook,
+		Confirmed: func(asOf time.Time) {
+			r.dispatchQueue.put(dispatcher.ProfilesConfirmed{AsOf: asOf})
+		},
 	})
 	r.writer = profilewriter.New(profilewriter.Options{
 		Store:       r.platform,
