--- a/internal/repeater/simfaults_test.go
+++ b/internal/repeater/simfaults_test.go
@@ -51,6 +51,10 @@
 func (sim *simulation) setCut(from, to int, cut bool) {
 	sim.cut[[2]int{from, to}] = cut
 	if cut {
+		sim.holdLink([2]int{from, to})
+		return
+	}
+	if sim.releaseLink([2]int{from, to}) {
 		return
 	}
 	a, b := sim.vms[from], sim.vms[to]
@@ -89,6 +93,18 @@
 	})
 }
 
+// injectShortCut cuts a VM off from the others for less than most links survive.
+func (sim *simulation) injectShortCut() {
+	vm := sim.randomVM()
+	d := sim.randomDuration(200*time.Millisecond, 3500*time.Millisecond)
+	sim.tracef("vm-%d is cut off for %v", vm.index, d)
+	for _, other := range sim.vms {
+		if other != vm {
+			sim.cutPairFor(vm.index, other.index, d)
+		}
+	}
+}
+
 // injectDomainCut cuts a failure domain, servers included, off from the others.
 func (sim *simulation) injectDomainCut() {
 	domain := sim.domain(sim.rand.IntN(3))
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -23,6 +23,7 @@
 	servers   []*simServer
 	jobs      []*simJob
 	routes    *simRoutes
+	held      map[[2]int]*heldLink
 	cut       map[[2]int]bool // directed links between VMs that lose all messages
 	trace     []string
 
@@ -44,7 +45,9 @@
 
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
-	defect        defect
+
+	linksHold bool // links hold the messages of a short cut
+	defect    defect
 }
 
 const (
@@ -89,6 +92,7 @@
 		now:   start,
 		start: start,
 		cut:   make(map[[2]int]bool),
+		held:  make(map[[2]int]*heldLink),
 	}
 	sim.routes = newSimRoutes(sim, seed)
 	for i := range cfg.servers {
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -214,10 +214,10 @@
 	}
 	from, domain := vm.member, sim.domain(vm.index)
 	for _, to := range sim.vms {
-		if to.machine == nil || to.member != receiver || sim.cut[[2]int{vm.index, to.index}] {
+		if to.machine == nil || to.member != receiver {
 			continue
 		}
-		sim.schedule(sim.randomDuration(200*time.Microsecond, 2*time.Millisecond), func() {
+		deliver := func() {
 			if to.machine == nil || to.member != receiver {
 				return
 			}
@@ -227,6 +227,13 @@
 				return
 			}
 			to.step(PeerMessage{From: from, Domain: domain, Message: msg})
-		})
+		}
+		link := [2]int{vm.index, to.index}
+		switch h := sim.held[link]; {
+		case h != nil:
+			h.messages = append(h.messages, deliver)
+		case !sim.cut[link]:
+			sim.schedule(sim.randomDuration(200*time.Microsecond, 2*time.Millisecond), deliver)
+		}
 	}
 }
