fix(peerlinker): reset a link that is given up

Cause: a session whose peer answered no ping was closed gracefully, so the system went on sending what the peer had not received. After a partition it would arrive behind the messages of the next session: a task after its own cancellation. Change: the connection below a session is closed with a reset, unless the linker itself is closed, which is the end of a graceful shutdown. Evidence: TestUnsentMessagesDontOutliveTheirLink: the peer's read ended with EOF before, with ECONNRESET now. That messages arrive late after a partition was not reproduced: the kernel of a test machine has no partition to hold them. Measured: tests of peerlinker, platform and systemrunner pass with -race. Conclusion: what a link holds reaches its peer within the ping's timeout or never.

--- a/internal/peerlinker/link.go
+++ b/internal/peerlinker/link.go
@@ -16,6 +16,7 @@
 	linker        *Linker
 	address       string
 	dialRequested chan struct{} // ends the wait before a dial
+	tcp           net.Conn      // below the latest connection
 
 	mu            sync.Mutex
 	cancelDial    context.CancelFunc // cancels the dial in progress; nil: none
@@ -108,7 +109,8 @@
 	if peer.Member.VM == k.linker.opts.Self.Member.VM {
 		return false
 	}
-	s := newSession(k.linker, conn, peer)
+	s := newSession(k.linker, conn, k.tcp, peer)
+	s.setGraceful(false)
 	k.linker.markUp(s)
 	defer k.linker.markDown(s)
 	s.serve()
@@ -157,8 +159,9 @@
 	return &http.Client{Transport: &http.Transport{
 		TLSClientConfig:   k.linker.opts.TLS,
 		DisableKeepAlives: true,
-		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
-			return dial(ctx, address)
+		DialContext: func(_ context.Context, _, address string) (conn net.Conn, err error) {
+			k.tcp, err = dial(ctx, address)
+			return k.tcp, err
 		},
 	}}
 }
--- a/internal/peerlinker/linker.go
+++ b/internal/peerlinker/linker.go
@@ -126,11 +126,14 @@
 	return s != nil && s.peer.Member == to && s.send(data)
 }
 
-// Close ends all links and waits for their goroutines. It also ends the incoming
-// connections, but doesn't wait for them.
+// Close ends all links and waits for their goroutines. The system delivers what was
+// written to them. Close also ends the incoming connections, but doesn't wait for them.
 func (l *Linker) Close() error {
 	l.mu.Lock()
 	l.closed = true
+	for _, s := range l.sessions {
+		s.setGraceful(true)
+	}
 	l.mu.Unlock()
 	l.cancel()
 	return l.group.Wait()
--- a/internal/peerlinker/linker_test.go
+++ b/internal/peerlinker/linker_test.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
 	"github.com/go-kit/log"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
@@ -240,6 +244,40 @@
 	}
 }
 
+// TestUnsentMessagesDontOutliveTheirLink guards against messages that arrive after their
+// sender has given up the link: a graceful close would still deliver them.
+func TestUnsentMessagesDontOutliveTheirLink(t *testing.T) {
+	silent := Peer{Member: identifier.Member{VM: "silent", Incarnation: 1}, Domain: "a"}
+	accepted, lost := make(chan struct{}, 1), make(chan error, 1)
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for key, values := range helloHeader(silent) {
+			w.Header()[key] = values
+		}
+		conn, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		defer conn.CloseNow()
+		accepted <- struct{}{}
+		<-ended // answers no ping until the sender has given up
+		_, _, err = conn.Read(context.Background())
+		select {
+		case lost <- err:
+		default:
+		}
+	}))
+	defer server.Close()
+	silent.Address = strings.TrimPrefix(server.URL, "http://")
+	a := newTestPeer(t, "a", silent.Address)
+	<-accepted
+	a.await(func(e Event) bool { _, ok := e.(PeerDown); return ok })
+	close(ended)
+	if err := <-lost; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, not with a reset", err)
+	}
+}
+
 // TestFullOutbox checks that the outbox of a peer that reads nothing is bounded,
 // and that an overflow is reported so that the link goes down.
 func TestFullOutbox(t *testing.T) {
--- a/internal/peerlinker/session.go
+++ b/internal/peerlinker/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
@@ -16,21 +17,38 @@
 type session struct {
 	linker *Linker
 	conn   *websocket.Conn
+	tcp    net.Conn // below conn
 	peer   Peer
 	outbox *outbox
 
 	sentTable []byte // the last peer table sent; owned by shareTable
 }
 
-func newSession(l *Linker, conn *websocket.Conn, peer Peer) *session {
+func newSession(l *Linker, conn *websocket.Conn, tcp net.Conn, peer Peer) *session {
 	return &session{
 		linker: l,
 		conn:   conn,
+		tcp:    tcp,
 		peer:   peer,
 		outbox: newOutbox(),
 	}
 }
 
+// setGraceful sets whether the end of the session leaves it to the system to deliver what
+// the peer has not received. Those messages arrive whenever a partition heals, even after
+// those of a later session. Otherwise the end resets the connection.
+func (s *session) setGraceful(graceful bool) {
+	tcp, ok := s.tcp.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := 0 // seconds
+	if graceful {
+		linger = -1 // the system's default
+	}
+	_ = tcp.SetLinger(linger) // it fails only if the connection is closed already
+}
+
 // serve sends messages and pings until either fails.
 func (s *session) serve() {
 	group, ctx := errgroup.WithContext(s.linker.ctx)
