fix(peerlinker): give a link up after a second with unacknowledged data

What callers saw: nothing reported. Change: TCP_USER_TIMEOUT of 1 s on links. A lost link is dialed each 0.5 s, with 0.3 s to connect, since no late message shows any more that a cut is over. Conclusion: a task reaches its owner within a second or never.

--- a/internal/peerlinker/link.go
+++ b/internal/peerlinker/link.go
@@ -5,10 +5,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+	"golang.org/x/sys/unix"
 )
 
 // link keeps one outgoing connection and dials again whenever it is lost.
@@ -16,7 +18,6 @@
 	linker        *Linker
 	address       string
 	dialRequested chan struct{} // ends the wait before a dial
-	tcp           net.Conn      // below the latest connection
 
 	mu            sync.Mutex
 	cancelDial    context.CancelFunc // cancels the dial in progress; nil: none
@@ -101,7 +102,7 @@
 // connect dials and serves the connection until it is lost. It reports whether
 // a connection to another VM was made.
 func (k *link) connect() bool {
-	conn, peer, err := k.dial()
+	conn, tcp, peer, err := k.dial()
 	if err != nil {
 		return false
 	}
@@ -109,7 +110,7 @@
 	if peer.Member.VM == k.linker.opts.Self.Member.VM {
 		return false
 	}
-	s := newSession(k.linker, conn, k.tcp, peer)
+	s := newSession(k.linker, conn, tcp, peer)
 	s.setGraceful(false)
 	k.linker.markUp(s)
 	defer k.linker.markDown(s)
@@ -117,28 +118,29 @@
 	return true
 }
 
-// dial returns a new connection and the peer that answered.
-func (k *link) dial() (conn *websocket.Conn, peer Peer, err error) {
+// dial returns a new connection, the TCP connection below it, and the peer that answered.
+func (k *link) dial() (conn *websocket.Conn, tcp net.Conn, peer Peer, err error) {
 	defer func() { err = errors.Wrapf(err, "linking to %s", k.address) }()
 	ctx, cancel := context.WithTimeout(k.linker.ctx, dialTimeout)
 	defer cancel()
 	k.setDial(cancel)
 	defer k.setDial(nil)
+	connected := make(chan net.Conn, 1)
 	//nolint:bodyclose // Dial closes the body of the upgrade response itself.
 	conn, response, err := websocket.Dial(ctx, k.url(), &websocket.DialOptions{
-		HTTPClient:      k.client(ctx),
+		HTTPClient:      k.client(ctx, connected),
 		HTTPHeader:      helloHeader(k.linker.opts.Self),
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
-		return nil, Peer{}, err
+		return nil, nil, Peer{}, err
 	}
 	peer, err = parseHello(response.Header)
 	if err != nil {
 		conn.CloseNow()
-		return nil, Peer{}, err
+		return nil, nil, Peer{}, err
 	}
-	return conn, peer, nil
+	return conn, <-connected, peer, nil
 }
 
 func (k *link) url() string {
@@ -149,9 +151,10 @@
 	return scheme + "://" + k.address + linkPath
 }
 
-// client returns an HTTP client whose dials end with ctx. By default a transport
-// continues a dial whose request has ended, for a later request to use.
-func (k *link) client(ctx context.Context) *http.Client {
+// client returns an HTTP client for one request, which sends its TCP connection to
+// connected. Its dial ends with ctx; by default a transport continues a dial whose
+// request has ended, for a later request to use.
+func (k *link) client(ctx context.Context, connected chan<- net.Conn) *http.Client {
 	dial := k.linker.opts.Dial
 	if dial == nil {
 		dial = dialTCP
@@ -159,14 +162,30 @@
 	return &http.Client{Transport: &http.Transport{
 		TLSClientConfig:   k.linker.opts.TLS,
 		DisableKeepAlives: true,
-		DialContext: func(_ context.Context, _, address string) (conn net.Conn, err error) {
-			k.tcp, err = dial(ctx, address)
-			return k.tcp, err
+		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
+			if err == nil {
+				select {
+				case connected <- conn:
+				default: // a redirected request, which fails
+				}
+			}
+			return conn, err
 		},
 	}}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{Timeout: connectTimeout, Control: limitUnacknowledged}
 	return d.DialContext(ctx, "tcp", address)
 }
+
+// limitUnacknowledged makes the system give up a connection whose peer hasn't
+// acknowledged data for maxUnacknowledged.
+func limitUnacknowledged(_, _ string, conn syscall.RawConn) error {
+	var optionErr error
+	err := conn.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(maxUnacknowledged.Milliseconds()))
+	})
+	return errors.CombineErrors(err, optionErr)
+}
--- a/internal/peerlinker/options.go
+++ b/internal/peerlinker/options.go
@@ -31,13 +31,22 @@
 	// maxLinks bounds the links of a Linker at one time.
 	maxLinks = 1024
 
+	// dialTimeout bounds a dial with its handshake.
 	dialTimeout = time.Second
+	// connectTimeout bounds the TCP part of a dial: several round trips between failure
+	// domains, and less than the time after which TCP resends a lost SYN.
+	connectTimeout = 300 * time.Millisecond
 	// maxHealthyDial is the longest time of a dial to a peer that is up: many round
 	// trips between failure domains.
 	maxHealthyDial = 150 * time.Millisecond
+	// minRedialDelay is the first delay before a lost link is dialed again. It doubles up
+	// to maxRedialDelay, which bounds how long a peer stays unlinked after a partition.
 	minRedialDelay = 50 * time.Millisecond
-	maxRedialDelay = 2 * time.Second
+	maxRedialDelay = 500 * time.Millisecond
 	writeTimeout   = 2 * time.Second
+	// maxUnacknowledged bounds how late a message can arrive over a link: less than the
+	// time after which a home has a task run elsewhere that it has sent over it.
+	maxUnacknowledged = time.Second
 	// minPingInterval is the shortest time between two pings of a session, and
 	// maxPingsPerSecond bounds the pings of all sessions together.
 	minPingInterval   = 500 * time.Millisecond
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -32,7 +32,6 @@
 	skipOrphanWait      bool // a home reruns orphaned tasks without waiting for their runs to end
 	extendUnclaimed     bool // a new owner extends a server's lease while no home has claimed its runs
 	acceptStaleRequests bool // requests that waited through a pause are accepted
-	acceptHeldTasks     bool // tasks that a link has held back are accepted
 	trustOldRoutes      bool // requests are decided after a pause by routes that the store has not confirmed
 }
 
@@ -125,10 +124,6 @@
 	// pauseRefusalTime is how long requests are refused after this VM was paused:
 	// they may have waited in its socket and been submitted elsewhere since.
 	pauseRefusalTime = 300 * time.Millisecond
-	// silenceRefusalTime is how long the tasks of a peer are refused after it was
-	// silent: what its link has held back arrives at once, and the peer may have had
-	// the tasks run elsewhere since.
-	silenceRefusalTime = 300 * time.Millisecond
 	// routesCheckTime bounds how long requests are refused after a pause until the
 	// store confirms the routes: twice the response time of a slow store.
 	routesCheckTime = 500 * time.Millisecond
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -19,8 +19,6 @@
 	lost      bool // silent for too long, or replaced
 	near      bool // in the neighborhood of this VM
 
-	refuseTasksUntil time.Time // the link may have held tasks back through a silence
-
 	announcedInterval time.Duration // the peer sends its next load report within this time
 	nextReportAt      time.Time     // the next load report to it is due
 	promisedInterval  time.Duration // it was told to expect the next load report within this time
@@ -167,9 +165,6 @@
 	if p == nil {
 		return // the process was replaced
 	}
-	if m.silentTooLong(p) {
-		p.refuseTasksUntil = m.now.Add(silenceRefusalTime)
-	}
 	p.lastHeard = m.now
 	if p.lost {
 		p.lost = false
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -60,7 +60,7 @@
 		m.sendMessage(home, e.msg)
 		return
 	}
-	if cause := m.queueRefusal(home, msg); cause != "" {
+	if cause := m.queueRefusal(msg); cause != "" {
 		m.sendMessage(home, peermessenger.TaskEnded{Run: msg.Run, Ending: peermessenger.RunNotStarted, Cause: cause})
 		return
 	}
@@ -97,13 +97,10 @@
 }
 
 // queueRefusal returns why a task can't be queued here, or "" if it can.
-func (m *Machine) queueRefusal(home identifier.Member, msg peermessenger.RunTask) string {
+func (m *Machine) queueRefusal(msg peermessenger.RunTask) string {
 	if m.now.Before(m.refuseUntil) {
 		return "its owner was paused" // the request may have waited through the pause
 	}
-	if p := m.peers[home.VM]; p != nil && p.member == home && m.now.Before(p.refuseTasksUntil) && !m.opts.defects.acceptHeldTasks {
-		return "its home was silent" // the link may have held the request back
-	}
 	if len(m.queue) >= maxQueuedTasks {
 		return "queueFull"
 	}
@@ -195,7 +192,7 @@
 func (m *Machine) requeue(q *queuedTask, cause string) {
 	m.counters.StartsFailed++
 	q.refusedStarts++
-	if q.refusedStarts >= maxRefusedStarts || m.draining && m.anyPeerServing() || m.queueRefusal(q.home, q.msg) != "" {
+	if q.refusedStarts >= maxRefusedStarts || m.draining && m.anyPeerServing() || m.queueRefusal(q.msg) != "" {
 		m.sendMessage(q.home, peermessenger.TaskEnded{Run: q.msg.Run, Ending: peermessenger.RunNotStarted, Cause: cause})
 		return
 	}
