--- a/internal/repeater/routing.go
+++ b/internal/repeater/routing.go
@@ -77,8 +77,8 @@
 	return Refused{}, false
 }
 
-// routesAge returns how long ago the store was last known to have no later routes; 0
-// if they are known from peers alone.
+// routesAge returns the time since the store was last known to have no later routes, or 0
+// if the routes are known from peers alone.
 func (m *Machine) routesAge() time.Duration {
 	if m.routesAsOf.IsZero() {
 		return 0
--- a/internal/repeater/simfaults_test.go
+++ b/internal/repeater/simfaults_test.go
@@ -65,9 +65,15 @@
 	a.connect(b)
 }
 
-func (sim *simulation) injectVMCut() {
+func (sim *simulation) injectVMCut() { sim.cutOff(200*time.Millisecond, 5*time.Second) }
+
+// injectShortCut cuts a VM off for about as long as links hold messages.
+func (sim *simulation) injectShortCut() { sim.cutOff(200*time.Millisecond, 3500*time.Millisecond) }
+
+// cutOff cuts a random VM off from the others for a random time between two bounds.
+func (sim *simulation) cutOff(least, most time.Duration) {
 	vm := sim.randomVM()
-	d := sim.randomDuration(200*time.Millisecond, 5*time.Second)
+	d := sim.randomDuration(least, most)
 	sim.tracef("vm-%d is cut off for %v", vm.index, d)
 	for _, other := range sim.vms {
 		if other != vm {
@@ -93,18 +99,6 @@
 	})
 }
 
-// injectShortCut cuts a VM off from the others for less than most links survive.
-func (sim *simulation) injectShortCut() {
-	vm := sim.randomVM()
-	d := sim.randomDuration(200*time.Millisecond, 3500*time.Millisecond)
-	sim.tracef("vm-%d is cut off for %v", vm.index, d)
-	for _, other := range sim.vms {
-		if other != vm {
-			sim.cutPairFor(vm.index, other.index, d)
-		}
-	}
-}
-
 // injectDomainCut cuts a failure domain, servers included, off from the others.
 func (sim *simulation) injectDomainCut() {
 	domain := sim.domain(sim.rand.IntN(3))
--- a/internal/repeater/simroutes_test.go
+++ b/internal/repeater/simroutes_test.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// simSendSkew is how much later than another request one has to be sent to a VM to
-	// be decided by routes that are no older.
+	// simSendSkew is the least time between two requests of which the second must not be
+	// decided by older routes than the first.
 	simSendSkew = 250 * time.Millisecond
 	// simWatchTimeout is when a VM reads the routes again after a lost answer of a watch.
 	simWatchTimeout = 1400 * time.Millisecond
