fix(repeater): stop the runs of other homes after a pause of their owner

Cause: an owner that was paused for 0.5 s went on with the runs on servers that nobody had taken over. It counted the pause not as its peers' silence, so it extended the lease of a run whose home had been silent for longer than that, and whose cancel a cut had lost. The home, which had heard nothing either, started the task elsewhere after its orphanBound.

Change: after a pause that lasts long enough for homes to give tasks up, the owner stops the runs of other homes at once and extends no lease on those servers until the runs are gone. What it reads from a home right after the pause may be as old as the pause, so that no message is taken as a sign that the home still waits.

Evidence: the history passes, and TestHistoriesCatch finds it again with the protection taken away.

--- a/internal/repeater/faults_test.go
+++ b/internal/repeater/faults_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// TestNoTaskRunsTwiceBesidePausedVM guards against a second run of a task in a history
-// of pauses that has shown one.
+// TestNoTaskRunsTwiceBesidePausedVM guards against an owner that continues a run after a
+// pause in which the run's home gave it up, while a cut loses the home's cancel.
 func TestNoTaskRunsTwiceBesidePausedVM(t *testing.T) {
 	if sim := simulate(40019, ignorePause, noDefect); len(sim.violations) > 0 {
 		t.Fatal(strings.Join(sim.violations, "\n"))
@@ -118,7 +118,7 @@
 	case routeAheadOfEvents, trustOldRoutes:
 		sim.cfg.routeChanges, sim.cfg.routeRequests = 40, 1200
 		sim.routes.schedule(length)
-	case ignorePause, acceptStaleRequests:
+	case ignorePause, acceptStaleRequests, keepRunsAfterPause:
 		sim.cfg.maxRunTime = 3 * time.Second
 		for range 20 {
 			sim.schedule(sim.randomDuration(1500*time.Millisecond, length), sim.injectPause)
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -215,6 +215,9 @@
 	for _, id := range m.ownedIDs() {
 		o := m.owned[id] // the next poll shows by its token whether it was taken over
 		o.phase, o.confirmed, o.nextPollAt = phaseTaking, false, m.now
+		if !m.opts.defects.keepRunsAfterPause {
+			m.giveUpRuns(o)
+		}
 	}
 }
 
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -31,6 +31,7 @@
 type defects struct {
 	skipOrphanWait      bool // a home reruns orphaned tasks without waiting for their runs to end
 	extendUnclaimed     bool // a new owner extends a server's lease while no home has claimed its runs
+	keepRunsAfterPause  bool // an owner that was paused continues the runs of other homes
 	acceptStaleRequests bool // requests that waited through a pause are accepted
 	trustOldRoutes      bool // requests are decided after a pause by routes that the store has not confirmed
 }
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -87,6 +87,7 @@
 	stopSentAt  time.Time
 	stoppedAt   time.Time // when the stop was accepted
 	stopRetryAt time.Time
+	mayBeRerun  bool // its home may start the task on another server at any time
 	progress    float64
 	stoppedRuns int // earlier runs of the task that were stopped or lost
 }
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -239,6 +239,18 @@
 	}
 }
 
+// giveUpRuns stops the runs of other homes on a server after a pause of this VM.
+// Their homes have not heard it meanwhile, and what it now reads from them may have
+// waited through the pause, so that neither shows whether they still wait.
+func (m *Machine) giveUpRuns(o *ownedServer) {
+	for _, r := range o.sortedRuns() {
+		if r.home != m.opts.Self {
+			r.mayBeRerun = true
+			m.stopRun(o, r, "its owner was paused")
+		}
+	}
+}
+
 // cancelRuns drops or stops runs that their home no longer waits for.
 func (m *Machine) cancelRuns(home identifier.Member, refs []identifier.RunRef) {
 	for _, ref := range refs {
--- a/internal/repeater/poll.go
+++ b/internal/repeater/poll.go
@@ -70,11 +70,12 @@
 }
 
 // mustNotExtendLease reports whether the server's lease must not be extended,
-// because it holds a run that no home has claimed yet, or one whose stop the
-// server may not have received. Such a run ends when the lease lapses.
+// because it holds a run that no home has claimed yet, one that its home may have
+// given up, or one whose stop the server may not have received. Such a run ends when
+// the lease lapses.
 func (o *ownedServer) mustNotExtendLease(now time.Time) bool {
 	for _, r := range o.runs {
-		if r.home == (identifier.Member{}) {
+		if r.home == (identifier.Member{}) || r.mayBeRerun {
 			return true
 		}
 		if r.state == runStopping && r.stoppedAt.IsZero() && now.Sub(r.stopSince) > unansweredStopBound {
--- a/internal/repeater/simdefects_test.go
+++ b/internal/repeater/simdefects_test.go
@@ -18,6 +18,7 @@
 	acceptStaleRequests defect = "requests that waited through a pause are accepted"
 	dropCancels         defect = "a home that gives up a job doesn't stop its runs"
 	replayReports       defect = "a silent peer seems to be alive"
+	keepRunsAfterPause  defect = "an owner that was paused continues the runs of other homes"
 	ignorePause         defect = "a VM doesn't notice that it was paused"
 	routeAheadOfEvents  defect = "a VM routes requests ahead of the events that wait, its pause among them"
 	holdMessages        defect = "links hold messages until a ping fails"
@@ -34,7 +35,7 @@
 	for d, first := range map[defect]uint64{
 		skipOrphanWait: 0, extendUnclaimed: 0, acceptStaleRequests: 0, dropCancels: 0, replayReports: 0, ignorePause: 0,
 		routeAheadOfEvents: 0, trustOldRoutes: 0, holdMessages: 0,
-		noFencing: 120, noExpiry: 0, extendOnFirstPoll: 7,
+		noFencing: 120, noExpiry: 0, extendOnFirstPoll: 7, keepRunsAfterPause: 40019,
 	} {
 		t.Run(string(d), func(t *testing.T) {
 			t.Parallel()
@@ -60,6 +61,7 @@
 	return defects{
 		skipOrphanWait:      d == skipOrphanWait,
 		extendUnclaimed:     d == extendUnclaimed,
+		keepRunsAfterPause:  d == keepRunsAfterPause,
 		acceptStaleRequests: d == acceptStaleRequests,
 		trustOldRoutes:      d == trustOldRoutes,
 	}
