perf(repeater): divide servers among neighborhoods, and reach beyond them by contacts

Cause: each VM computed the owners of all servers over all VMs whenever one VM appeared or was lost (4.7 ms of a full core at 147 VMs and 1,100 servers, 25 ms on the smallest), walked all servers in each tick, and reported to every VM each second, and each 100 ms to every VM that it shared a task with, which under load could be any. A lost VM's servers went to any VM of its failure domain, of which those beyond the neighborhood notice the silence late.

Change: the servers of a failure domain are divided among its neighborhoods by weight, and those of a neighborhood among its live VMs. A VM computes the owners of its neighborhood's servers alone. Beyond the neighborhood, a VM of a large fleet sends tasks to about eight contacts, to which it reports as often as to neighbors; reports to the others are 40 a second in all, whatever their number. Fleets with at most 40 VMs beyond the neighborhood keep their reports. A VM that hears a minority of the fleet leaves the servers of other failure domains alone.

TestNeighborTakesOver fails on the code before: servers of a paused VM have no owner after 0.7 s.

--- a/internal/repeater/directory.go
+++ b/internal/repeater/directory.go
@@ -50,6 +50,11 @@
 	}
 	m.servers = next
 	m.serverIDs = slices.Sorted(maps.Keys(next))
+	domains := make(map[identifier.FailureDomain]bool)
+	for _, s := range next {
+		domains[s.Domain] = true
+	}
+	m.serverDomains = slices.Sorted(maps.Keys(domains))
 	for id, o := range m.owned {
 		if s, ok := next[id]; ok {
 			o.Server = s
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -21,11 +21,15 @@
 	routesAsOf      time.Time // the store had no later routes then; zero: known from peers alone
 	servers         map[identifier.BackendID]Server
 	serversRevision uint64
-	serverIDs       []identifier.BackendID // sorted
+	serverIDs       []identifier.BackendID     // sorted
+	serverDomains   []identifier.FailureDomain // of the servers, sorted
 
 	peers         map[identifier.VMID]*peer
 	peersInOrder  []*peer // sorted; nil when peers has changed
 	neighborCount int     // peers in the neighborhood
+	contactCount  int     // contacts beyond it
+	domainParts   int     // neighborhoods of this VM's failure domain
+	ownPart       int     // the one of this VM
 	listedVMs     []identifier.VMID
 
 	// State as a home.
@@ -52,6 +56,7 @@
 	ended            map[identifier.RunRef]endedRun
 	formerRuns       map[identifier.RunRef]formerRun
 	assignmentInput  assignmentInput
+	assignedIDs      []identifier.BackendID // the servers in assignments, sorted
 
 	minoritySince time.Time // zero: this VM hears a majority
 	fencedAt      time.Time // when this VM last lost a server to a higher token
@@ -74,6 +79,7 @@
 // New returns a Machine that knows no peers, routes or servers.
 func New(now time.Time, opts Options) *Machine {
 	return &Machine{
+		domainParts:      1,
 		opts:             opts,
 		now:              now,
 		started:          now,
--- a/internal/repeater/neighborhood.go
+++ b/internal/repeater/neighborhood.go
@@ -8,23 +8,29 @@
 	"github.com/peppertrack/peppertrack/internal/identifier"
 )
 
-// A neighborhood is a group of VMs that report to each other at short intervals
-// and run each other's tasks. In large fleets, what a VM sends and reads thus
-// grows with its neighborhood, not with the fleet. VMs beyond the neighborhood
-// get reports at long intervals, and at short ones only while one of them runs
-// tasks of the other.
+// A neighborhood is a group of VMs that report to each other at short intervals,
+// run each other's tasks and own the same servers. In large fleets, what a VM sends
+// and reads thus grows with its neighborhood, not with the fleet. Each VM has some
+// contacts beyond its neighborhood, which run the tasks that find no room in it. The
+// other VMs get reports at long intervals, and at short ones only while one of them
+// runs tasks of the other.
 
 const (
 	// defaultNeighborhood is the largest number of VMs that all report to each
 	// other at short intervals: load reports then cost a small VM less than a
 	// tenth of its processor time.
 	defaultNeighborhood = 16
-	// farReportInterval is the time between two load reports to a VM beyond the
-	// neighborhood.
-	farReportInterval = time.Second
-	// farSilenceBound is how long a VM beyond the neighborhood may be silent
-	// before it is lost: two report intervals, plus the bound for a neighbor.
-	farSilenceBound = 2*farReportInterval + silenceBound
+	// maxFarContacts is the largest number of VMs beyond the neighborhood that are
+	// all contacts, with reports at long intervals.
+	maxFarContacts = 40
+	// maxContacts is the usual bound of the contacts, with reports at short
+	// intervals, where more VMs than maxFarContacts are beyond the neighborhood. A
+	// VM has half of it or more on average.
+	maxContacts = 12
+	// minFarReportInterval is the shortest time between two load reports to a VM
+	// that is no neighbor, and maxFarReportsPerSecond bounds those to all such VMs.
+	minFarReportInterval   = time.Second
+	maxFarReportsPerSecond = 40
 	// sharingLinger is how long a VM continues to report at short intervals after
 	// the last task that it shares with the receiver, since the two may see the
 	// end of that task at different times.
@@ -43,28 +49,70 @@
 	if domainA != domainB {
 		return false
 	}
-	parts := uint64(1)
-	for uint64(inDomain) > parts*uint64(bound) {
+	parts := partsOf(inDomain, bound)
+	return partOf(a, parts) == partOf(b, parts)
+}
+
+// partsOf returns the number of parts, a power of two, into which some VMs are
+// divided so that a part has about bound of them at most.
+func partsOf(vms, bound int) int {
+	parts := 1
+	for vms > parts*bound {
 		parts *= 2
 	}
-	return xxhash.Sum64String(string(a))%parts == xxhash.Sum64String(string(b))%parts
+	return parts
+}
+
+func partOf(vm identifier.VMID, parts int) int {
+	return int(xxhash.Sum64String(string(vm)) % uint64(parts))
+}
+
+// contacts reports whether two VMs that are not neighbors are contacts: all of them
+// if they are few, otherwise pairs chosen by a hash.
+func contacts(a, b identifier.VMID, far int) bool {
+	if far <= maxFarContacts {
+		return true
+	}
+	h := xxhash.Sum64String(string(min(a, b)) + "\x00" + string(max(a, b)))
+	return h%uint64(partsOf(far, maxContacts)) == 0
 }
 
-// updateNeighbors marks and counts the peers in this VM's neighborhood.
+// updateNeighbors determines the neighborhood and the contacts of this VM.
 func (m *Machine) updateNeighbors() {
-	inDomain := 1
+	inDomain, fleet, bound := 1, len(m.peers)+1, m.opts.maxNeighborhood()
 	for _, p := range m.peers {
 		if p.domain == m.opts.Domain {
 			inDomain++
 		}
 	}
-	m.neighborCount = 0
+	m.domainParts = 1
+	if fleet > bound {
+		m.domainParts = partsOf(inDomain, bound)
+	}
+	m.ownPart = partOf(m.opts.Self.VM, m.domainParts)
+	m.neighborCount, m.contactCount = 0, 0
 	for id, p := range m.peers {
-		p.near = neighbors(m.opts.Self.VM, id, m.opts.Domain, p.domain, len(m.peers)+1, inDomain, m.opts.maxNeighborhood())
+		p.part = partOf(id, m.domainParts)
+		p.near = neighbors(m.opts.Self.VM, id, m.opts.Domain, p.domain, fleet, inDomain, bound)
 		if p.near {
 			m.neighborCount++
 		}
 	}
+	for id, p := range m.peers {
+		p.contact = !p.near && contacts(m.opts.Self.VM, id, m.farCount())
+		if p.contact {
+			m.contactCount++
+		}
+	}
+}
+
+// farCount returns the number of peers beyond the neighborhood.
+func (m *Machine) farCount() int { return len(m.peers) - m.neighborCount }
+
+// farReportInterval returns the time between two load reports to a VM that is neither
+// a neighbor nor, in a large fleet, a contact.
+func (m *Machine) farReportInterval() time.Duration {
+	return max(minFarReportInterval, time.Duration(m.farCount())*time.Second/maxFarReportsPerSecond)
 }
 
 // markSharing records that this VM and a peer share a task.
@@ -117,19 +165,34 @@
 }
 
 // silentTooLong reports whether a peer has been silent for longer than its
-// bound.
+// bound: two of the intervals that it has announced, plus the bound for a neighbor.
 func (m *Machine) silentTooLong(p *peer) bool {
 	if p.sharesTasks || p.announcedInterval <= reportInterval {
 		return m.silence(p) > silenceBound
 	}
-	return m.silence(p) > farSilenceBound
+	return m.silence(p) > 2*p.announcedInterval+silenceBound
+}
+
+// reportsOften reports whether this VM and a peer report to each other at short
+// intervals, whether they share tasks or not.
+func (m *Machine) reportsOften(p *peer) bool {
+	return p.near || p.contact && m.farCount() > maxFarContacts
+}
+
+// oftenCount returns the number of peers to which this VM always reports at short
+// intervals.
+func (m *Machine) oftenCount() int {
+	if m.farCount() > maxFarContacts {
+		return m.neighborCount + m.contactCount
+	}
+	return m.neighborCount
 }
 
 // reportIntervalTo returns the time within which a peer gets the next load
 // report.
 func (m *Machine) reportIntervalTo(p *peer) time.Duration {
-	if p.near || m.now.Sub(p.lastSharedAt) <= sharingLinger {
+	if m.reportsOften(p) || m.now.Sub(p.lastSharedAt) <= sharingLinger {
 		return reportInterval
 	}
-	return farReportInterval
+	return m.farReportInterval()
 }
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -98,9 +98,10 @@
 	// after a server has fenced it off in favor of another VM. The next attempt
 	// after that finds out whether the partition lasts.
 	fencedTakeoverPause = 10 * time.Second
-	// rebalanceDelay is how long the assigned owner of a server must stay the same
-	// before the current owner, when alive, releases the server to it.
-	rebalanceDelay = time.Second
+	// minRebalanceDelay is the least time for which the assigned owner of a server
+	// must stay the same before the current owner, when alive, releases the server to
+	// it.
+	minRebalanceDelay = time.Second
 	// firstTakeoverBackoff is the backoff after the first time that another VM
 	// takes a server by a higher token, and maxTakeoverBackoff bounds its
 	// doubling.
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -148,6 +148,7 @@
 func (m *Machine) addOwned(o *ownedServer) {
 	m.owned[o.ID] = o
 	m.ownedInOrder = nil // callers that iterate over the old slice keep it
+	m.assignmentInput.stale = true
 }
 
 func (m *Machine) removeOwned(o *ownedServer) {
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -18,6 +18,8 @@
 	lastHeard time.Time
 	lost      bool // silent for too long, or replaced
 	near      bool // in the neighborhood of this VM
+	contact   bool // beyond it, and tasks may be sent to it
+	part      int  // its neighborhood in its failure domain
 
 	announcedInterval time.Duration // the peer sends its next load report within this time
 	nextReportAt      time.Time     // the next load report to it is due
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -55,11 +55,11 @@
 	return f
 }
 
-// addPeerServers adds the servers of the peers in the neighborhood, or of those
-// beyond it.
+// addPeerServers adds the servers of the peers in the neighborhood, or of the
+// contacts beyond it.
 func (m *Machine) addPeerServers(f *fleetView, j *openJob, near bool) {
 	for _, p := range m.sortedPeers() {
-		if p.near != near || !m.alive(p) || p.draining {
+		if near && !p.near || !near && !p.contact || !m.alive(p) || p.draining {
 			continue
 		}
 		for _, id := range p.viewIDs {
@@ -97,7 +97,7 @@
 }
 
 // planTargets chooses a target for each of a job's tasks: a server with room in
-// the neighborhood, else one beyond it, else the owner with the least queued
+// the neighborhood, else one of a contact beyond it, else the owner with the least queued
 // work for its capacity. It also returns the view that it chose from.
 func (m *Machine) planTargets(j *openJob, tasks []int) ([]target, *fleetView) {
 	f := m.viewFleet(j)
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -20,7 +20,7 @@
 // the load has changed, neighbors get it after the minimum spacing already.
 func (m *Machine) sendDueReports() {
 	since := m.now.Sub(m.reportedAt)
-	spacing := minReportSpacing * time.Duration(1+m.neighborCount/neighborsPerSpacing)
+	spacing := minReportSpacing * time.Duration(1+m.oftenCount()/neighborsPerSpacing)
 	if since < reportInterval && (!m.reportChanged || since < spacing) {
 		return
 	}
@@ -41,7 +41,7 @@
 	}
 	msg := m.loadReport()
 	m.broadcast(often, msg, reportInterval)
-	m.broadcast(rarely, msg, farReportInterval)
+	m.broadcast(rarely, msg, m.farReportInterval())
 }
 
 func (m *Machine) broadcast(to []identifier.Member, msg peermessenger.LoadReport, next time.Duration) {
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -1,12 +1,10 @@
 package repeater
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/peppertrack/peppertrack/internal/assigner"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
@@ -26,24 +24,11 @@
 	at      time.Time
 }
 
-// assignment names the VM that should own a server, and since when it has been
-// the same.
-type assignment struct {
-	owner identifier.VMID
-	since time.Time
-}
-
-// assignmentInput is the input that the current assignments were computed from.
-type assignmentInput struct {
-	stale bool
-	vms   []assigner.VM
-}
-
 // reconcileOwnership takes over and releases servers so that their owners match
 // the assignments.
 func (m *Machine) reconcileOwnership() {
 	m.updateAssignments()
-	for _, id := range m.serverIDs {
+	for _, id := range m.assignedIDs {
 		o, assigned := m.owned[id], m.assignments[id]
 		switch {
 		case o == nil && assigned.owner == m.opts.Self.VM && !m.draining:
@@ -67,30 +52,6 @@
 	}
 }
 
-// updateAssignments recomputes which VM should own which server if the live VMs
-// or the servers have changed.
-func (m *Machine) updateAssignments() {
-	vms := make([]assigner.VM, 0, len(m.peers)+1)
-	if !m.draining {
-		vms = append(vms, assigner.VM{ID: m.opts.Self.VM, Domain: m.opts.Domain, Weight: m.opts.Weight})
-	}
-	for _, p := range m.sortedPeers() {
-		if m.alive(p) && !p.draining {
-			vms = append(vms, assigner.VM{ID: p.member.VM, Domain: p.domain, Weight: p.weight})
-		}
-	}
-	if !m.assignmentInput.stale && slices.Equal(vms, m.assignmentInput.vms) {
-		return
-	}
-	m.assignmentInput = assignmentInput{vms: vms}
-	for _, id := range m.serverIDs {
-		owner, _ := assigner.Owner(id, m.servers[id].Domain, vms)
-		if m.assignments[id].owner != owner {
-			m.assignments[id] = assignment{owner: owner, since: m.now}
-		}
-	}
-}
-
 // canTakeOver reports whether this VM may take over a server now.
 func (m *Machine) canTakeOver(id identifier.BackendID) bool {
 	if m.now.Before(m.takeoverBackoffs[id].until) || !m.knowsOwners() || m.now.Before(m.refuseUntil) || m.partitioned() {
@@ -108,14 +69,28 @@
 		_, owns := p.view[id]
 		return !owns
 	}
+	if m.servers[id].Domain != m.opts.Domain {
+		return m.hearsMost(func(*peer) bool { return true }) // a domain that is cut off leaves the servers of the others alone
+	}
 	return m.inMajority() || m.now.Sub(p.lastHeard) > minorityTakeoverDelay
 }
 
-// inMajority reports whether this VM and the peers that it hears are more than
-// half of all known VMs.
+// inMajority reports whether this VM hears the majority of the VMs. In a large
+// fleet, those that report to it at short intervals stand for all: the silence of
+// the others shows too late.
 func (m *Machine) inMajority() bool {
+	largeFleet := m.farCount() > maxFarContacts
+	return m.hearsMost(func(p *peer) bool { return !largeFleet || m.reportsOften(p) })
+}
+
+// hearsMost reports whether this VM and the peers that it hears are more than half
+// of those that count.
+func (m *Machine) hearsMost(counts func(*peer) bool) bool {
 	alive, known := 1, 1
 	for _, p := range m.peers {
+		if !counts(p) {
+			continue
+		}
 		known++
 		if m.alive(p) {
 			alive++
@@ -221,13 +196,13 @@
 }
 
 // startDueRelease starts to release a server to its assigned owner if that is
-// alive: at once while this VM drains, otherwise after rebalanceDelay.
+// alive: at once while this VM drains, otherwise after a delay.
 func (m *Machine) startDueRelease(o *ownedServer, assigned assignment) {
 	p := m.peers[assigned.owner]
 	if p == nil || !m.alive(p) {
 		return
 	}
-	if m.draining || m.now.Sub(assigned.since) >= rebalanceDelay && o.phase == phaseReady {
+	if m.draining || m.now.Sub(assigned.since) >= m.rebalanceDelay(p) && o.phase == phaseReady {
 		o.phase = phaseReleasing
 		o.releaseTo = p.member
 		m.reportChanged = true
@@ -235,6 +210,16 @@
 	}
 }
 
+// rebalanceDelay returns how long the assigned owner of a server must stay the same
+// before this VM releases the server to it. VMs beyond the neighborhood may assign
+// the server differently until they have heard of the same VMs.
+func (m *Machine) rebalanceDelay(to *peer) time.Duration {
+	if to.near {
+		return minRebalanceDelay
+	}
+	return max(minRebalanceDelay, 2*m.farReportInterval())
+}
+
 // advancePhase moves a server to its next phase when the condition for that is
 // met.
 func (m *Machine) advancePhase(o *ownedServer) {
