perf(peerlinker): send the peer table to at most 16 peers in a round

While a fleet of 147 VMs starts, the table of each VM changes in every round, and each sent it to all others: 146 tables of 146 addresses to decode and to look up on each VM every 2 s, beside the list in the store, which names the same VMs.

A round now sends the table to 16 peers at most, those first that have waited the longest; a new peer comes first. Fleets of up to 17 VMs keep their rounds.

--- a/internal/peerlinker/options.go
+++ b/internal/peerlinker/options.go
@@ -52,7 +52,10 @@
 	minPingInterval   = 500 * time.Millisecond
 	maxPingsPerSecond = 20
 	pingTimeout       = time.Second
-	tableInterval     = 2 * time.Second
+	// tableInterval is the time between two rounds of sending the peer table, and
+	// maxTablesPerInterval bounds the peers that get it in one round.
+	tableInterval        = 2 * time.Second
+	maxTablesPerInterval = 16
 )
 
 // DefaultForgetAfter is how long an address that does not answer is dialed.
--- a/internal/peerlinker/session.go
+++ b/internal/peerlinker/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
@@ -21,7 +22,8 @@
 	peer   Peer
 	outbox *outbox
 
-	sentTable []byte // the last peer table sent; owned by shareTable
+	sentTable   []byte    // the last peer table sent; owned by shareTable
+	tableSentAt time.Time // zero: no table was sent
 }
 
 func newSession(l *Linker, conn *websocket.Conn, tcp net.Conn, peer Peer) *session {
--- a/internal/peerlinker/table.go
+++ b/internal/peerlinker/table.go
@@ -24,19 +24,20 @@
 	}
 }
 
-// sendTable sends the table to the peers to which it has not been sent yet.
+// sendTable sends the table to peers to which it has not been sent yet: at most
+// maxTablesPerInterval, those first that have waited the longest. While a large fleet
+// starts, the table changes all the time, and a peer learns it from others, too.
 func (l *Linker) sendTable() {
 	table, sessions := l.table()
 	data, ok := l.encode(table)
 	if !ok {
 		return
 	}
-	for _, s := range sessions {
-		if bytes.Equal(s.sentTable, data) {
-			continue
-		}
+	sessions = slices.DeleteFunc(sessions, func(s *session) bool { return bytes.Equal(s.sentTable, data) })
+	slices.SortFunc(sessions, func(a, b *session) int { return a.tableSentAt.Compare(b.tableSentAt) })
+	for _, s := range sessions[:min(len(sessions), maxTablesPerInterval)] {
 		if s.send(data) {
-			s.sentTable = data
+			s.sentTable, s.tableSentAt = data, time.Now()
 		}
 	}
 }
