fix(repeater): let one of two VMs with equal fencing tokens own a server

Two such VMs that took a server in the same millisecond both owned it for good: the server accepts the calls of both, and each ignored the other's report, since its token was not higher. Each then stopped the runs of the other as unknown.

Equal tokens are now decided by the owners' names, in the same way by both VMs, by the homes and by all others that hear of both; the VM with the lower name gives the server up. No width of a hash would make tokens unique for any names, and the time leaves no room for an address below the integers that JSON carries exactly.

--- a/internal/repeater/fleetsize_test.go
+++ b/internal/repeater/fleetsize_test.go
@@ -70,7 +70,7 @@
 		case Broadcast:
 			f.sent += len(effect.To)
 		case Poll:
-			f.step(PollAnswered{Call: effect.Call, Clock: ServerClock{Known: true, Now: ServerTime(time.Hour), Generation: 1}})
+			f.step(PollAnswered{Call: effect.Call, Result: PollResult{Status: PollOK}, Clock: ServerClock{Known: true, Now: ServerTime(time.Hour), Generation: 1}})
 		}
 	}
 }
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -213,16 +213,23 @@
 	m.sendDirectoryCopy(p)
 }
 
-// recordOwner records the owner with the highest token of a server. Runs there
-// are claimed from a new owner.
+// recordOwner records the owner with the highest token of a server. Of two that have
+// taken it by equal tokens, which the server can't tell apart, the one with the higher
+// name is the owner, for both and for all that hear of both. Runs there are claimed
+// from a new owner.
 func (m *Machine) recordOwner(id identifier.BackendID, owner identifier.Member, token identifier.FencingToken) {
 	known := m.owners[id]
-	if token <= known.token {
+	if cmp.Or(cmp.Compare(token, known.token), compareMembers(owner, known.owner)) <= 0 {
 		return
 	}
 	m.owners[id] = ownership{owner: owner, token: token}
-	if o := m.owned[id]; o != nil && owner != m.opts.Self && o.token < token {
-		m.loseOwnership(o, "a peer reports a higher token")
+	if o := m.owned[id]; o != nil && owner != m.opts.Self {
+		switch {
+		case o.token < token:
+			m.loseOwnership(o, "a peer reports a higher token")
+		case o.token == token && compareMembers(m.opts.Self, owner) < 0:
+			m.loseOwnership(o, "a peer with a higher name reports the same token")
+		}
 	}
 	m.claimRuns(owner, id)
 }
