perf(repeater): keep links only to the neighborhood and the contacts of a VM

Cause: every VM linked to every other. Each link costs two connections with their buffers and goroutines, two dials and handshakes at the start, pings, and reports; a process of the large deployment used 54 MB of its own, 21 MB in its small twin with 19 VMs.

Change: the store's entry of a VM also names its failure domain and weight. Where more than 40 VMs are beyond the neighborhood, a VM needs links to its neighborhood and its contacts alone; it keeps one that the other VM says it needs, and drops the rest after 5 s. Without the store's list, VMs link to all that they learn of, as before. The weight of the other neighborhoods of the domain comes from the list. A server that belongs to a neighborhood of which a VM knows nobody is given up once nothing runs there.

TestNoTaskRunsTwiceInASparseFleet plays histories in which links are given up.

--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -61,6 +61,8 @@
 		s.linker.Send(e.To, e.Message) // messages lost with a link are sent again once it is back
 	case repeater.Broadcast:
 		s.linker.Broadcast(e.To, e.Message)
+	case repeater.KeepLinks:
+		s.linker.Restrict(*s.vmAddresses.Load(), e.VMs, e.All)
 	case repeater.StartRun:
 		s.group.Go(func() error { s.startRun(e); return nil })
 	case repeater.StopRun:
--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -30,6 +30,8 @@
 	drained   chan struct{}
 	latencies *latencies
 
+	vmAddresses atomic.Pointer[map[identifier.VMID]string] // of the VMs that the store lists
+
 	counters  atomic.Pointer[repeater.Counters]
 	outcomes  *answers[repeater.Outcome]
 	decisions *answers[repeater.RouteDecision]
@@ -50,6 +52,7 @@
 		decisions: newAnswers[repeater.RouteDecision](),
 		readiness: newAnswers[bool](),
 	}
+	s.vmAddresses.Store(&map[identifier.VMID]string{})
 	s.linker = peerlinker.New(peerlinker.Options{
 		Self:   peerlinker.Peer{Member: opts.Self, Domain: opts.Domain, Address: opts.PeerAddress},
 		Seeds:  opts.Seeds,
@@ -86,8 +89,12 @@
 	s.post(repeater.ServersChanged{Revision: revision, Servers: servers})
 }
 
-// SetListedVMs tells the state machine which VMs the store lists.
-func (s *Server) SetListedVMs(vms []identifier.VMID) { s.post(repeater.VMsListed{VMs: vms}) }
+// SetListedVMs tells the state machine which VMs the store lists, and where they accept
+// links.
+func (s *Server) SetListedVMs(vms []repeater.ListedVM, addresses map[identifier.VMID]string) {
+	s.vmAddresses.Store(&addresses)
+	s.post(repeater.VMsListed{VMs: vms})
+}
 
 // Route decides the route of a request; false when the context ended first.
 func (s *Server) Route(ctx context.Context, host, path string) (d repeater.RouteDecision, answered bool) {
@@ -172,7 +179,7 @@
 	case peerlinker.PeerUp:
 		s.post(repeater.PeerLinked{Peer: e.Peer.Member, Domain: e.Peer.Domain})
 	case peerlinker.PeerDown:
-		s.post(repeater.PeerUnlinked{Peer: e.Peer.Member})
+		s.post(repeater.PeerUnlinked{Peer: e.Peer.Member, Unneeded: e.Unneeded})
 	case peerlinker.Received:
 		if c, ok := e.Message.(peermessenger.DirectoryCopy); ok {
 			s.handleDirectoryCopy(e.From.Member, c)
--- a/internal/peerlinker/event.go
+++ b/internal/peerlinker/event.go
@@ -14,7 +14,10 @@
 
 // PeerDown reports that the session with a peer has ended. Messages accepted by
 // Send since PeerUp may be lost.
-type PeerDown struct{ Peer Peer }
+type PeerDown struct {
+	Peer     Peer
+	Unneeded bool // the Linker has ended it, since neither of the two needs the link
+}
 
 // Received reports a message that arrived on an incoming connection. It may come
 // without a PeerUp for the sender.
--- a/internal/peerlinker/handler.go
+++ b/internal/peerlinker/handler.go
@@ -38,6 +38,8 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(peermessenger.MaxMessageSize)
+	in := l.addIncoming(peer)
+	defer l.removeIncoming(peer, in)
 	l.ensureLink(peer)
 	l.receive(r.Context(), conn, peer)
 }
@@ -67,8 +69,12 @@
 }
 
 func (l *Linker) deliver(from Peer, m peermessenger.Message) {
-	if table, ok := m.(peermessenger.PeerTable); ok {
-		l.connectPeers(table)
+	switch m := m.(type) {
+	case peermessenger.PeerTable:
+		l.connectPeers(m)
+		return
+	case peermessenger.LinkNeed:
+		l.setPeerNeeds(from, m.Needed)
 		return
 	}
 	l.opts.Handle(Received{From: from, Message: m})
--- a/internal/peerlinker/link.go
+++ b/internal/peerlinker/link.go
@@ -11,21 +11,31 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"golang.org/x/sys/unix"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
 )
 
 // link keeps one outgoing connection and dials again whenever it is lost.
 type link struct {
 	linker        *Linker
 	address       string
+	ctx           context.Context // ends when the link is dropped or the linker closes
+	cancel        context.CancelFunc
 	dialRequested chan struct{} // ends the wait before a dial
 
 	mu            sync.Mutex
 	cancelDial    context.CancelFunc // cancels the dial in progress; nil: none
 	dialStartedAt time.Time
+
+	// Guarded by the linker's mutex.
+	vm            identifier.VMID // that answered last; empty: none has yet
+	unneededSince time.Time       // zero: one of the two VMs needs the link
+	dropped       bool
 }
 
 func newLink(l *Linker, address string) *link {
-	return &link{linker: l, address: address, dialRequested: make(chan struct{}, 1)}
+	ctx, cancel := context.WithCancel(l.ctx)
+	return &link{linker: l, address: address, ctx: ctx, cancel: cancel, dialRequested: make(chan struct{}, 1)}
 }
 
 // dialNow makes the link dial at once, because the peer has shown that it is
@@ -63,7 +73,7 @@
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-k.linker.ctx.Done():
+	case <-k.ctx.Done():
 	case <-k.dialRequested:
 	case <-timer.C:
 	}
@@ -73,9 +83,10 @@
 // until the address has not answered for Options.ForgetAfter. A seed is never
 // forgotten.
 func (k *link) run() error {
+	defer k.cancel()
 	delay := minRedialDelay
 	lastUp := time.Now()
-	for k.linker.ctx.Err() == nil {
+	for k.ctx.Err() == nil {
 		if k.connect() {
 			lastUp = time.Now()
 			delay = minRedialDelay
@@ -112,16 +123,18 @@
 	}
 	s := newSession(k.linker, conn, tcp, peer)
 	s.setGraceful(false)
-	k.linker.markUp(s)
-	defer k.linker.markDown(s)
-	s.serve()
+	if !k.linker.markUp(k, s) {
+		return true
+	}
+	defer k.linker.markDown(k, s)
+	s.serve(k.ctx)
 	return true
 }
 
 // dial returns a new connection, the TCP connection below it, and the peer that answered.
 func (k *link) dial() (conn *websocket.Conn, tcp net.Conn, peer Peer, err error) {
 	defer func() { err = errors.Wrapf(err, "linking to %s", k.address) }()
-	ctx, cancel := context.WithTimeout(k.linker.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(k.ctx, dialTimeout)
 	defer cancel()
 	k.setDial(cancel)
 	defer k.setDial(nil)
--- a/internal/peerlinker/linker.go
+++ b/internal/peerlinker/linker.go
@@ -1,5 +1,7 @@
 // Package peerlinker keeps the links between entry VMs: one WebSocket
-// connection in each direction, whose frames are batches of messages in CBOR.
+// connection in each direction, whose frames are batches of messages in CBOR. A VM has
+// links to all others that it knows, or after Restrict to those that one of the two
+// needs.
 //
 // A link keeps an outgoing connection to one address and dials again whenever it is
 // lost. A session is one established outgoing connection of a link; it sends
@@ -35,6 +37,9 @@
 	links     map[string]*link             // by address
 	sessions  map[identifier.VMID]*session // established sessions
 	addresses map[identifier.VMID]peermessenger.PeerAddress
+	incoming  map[identifier.VMID]*incoming // the latest connection of each peer
+	listed    map[identifier.VMID]string    // addresses, as Restrict has them
+	needed    map[identifier.VMID]bool      // by this VM; nil: it needs all links
 }
 
 // New returns a Linker that dials no peer before Start.
@@ -42,6 +47,9 @@
 	if opts.ForgetAfter == 0 {
 		opts.ForgetAfter = DefaultForgetAfter
 	}
+	if opts.UnneededLinger == 0 {
+		opts.UnneededLinger = DefaultUnneededLinger
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Linker{
 		opts:      opts,
@@ -50,6 +58,7 @@
 		links:     make(map[string]*link),
 		sessions:  make(map[identifier.VMID]*session),
 		addresses: make(map[identifier.VMID]peermessenger.PeerAddress),
+		incoming:  make(map[identifier.VMID]*incoming),
 	}
 }
 
@@ -77,6 +86,9 @@
 // ensureLink keeps a link to a peer from which something has just arrived. It
 // dials at once unless a session with this incarnation of the peer exists.
 func (l *Linker) ensureLink(peer Peer) {
+	if !l.keeps(peer.Member.VM) {
+		return
+	}
 	l.mu.Lock()
 	k, s := l.links[peer.Address], l.sessions[peer.Member.VM]
 	l.mu.Unlock()
@@ -146,9 +158,15 @@
 	return max(minPingInterval, time.Duration(len(l.sessions))*time.Second/maxPingsPerSecond)
 }
 
-// markUp records that a session is established, and reports it.
-func (l *Linker) markUp(s *session) {
+// markUp records that a session is established, and reports it. It returns false if
+// the link has been dropped.
+func (l *Linker) markUp(k *link, s *session) bool {
 	l.mu.Lock()
+	if k.dropped {
+		l.mu.Unlock()
+		return false
+	}
+	k.vm = s.peer.Member.VM
 	l.sessions[s.peer.Member.VM] = s
 	l.addresses[s.peer.Member.VM] = peermessenger.PeerAddress{
 		VM:      s.peer.Member.VM,
@@ -157,22 +175,29 @@
 	}
 	l.mu.Unlock()
 	l.opts.Handle(PeerUp{Peer: s.peer})
+	l.tellNeed(s)
+	return true
 }
 
 // markDown records that a session has ended, and reports it.
-func (l *Linker) markDown(s *session) {
+func (l *Linker) markDown(k *link, s *session) {
 	l.mu.Lock()
 	if l.sessions[s.peer.Member.VM] == s {
 		delete(l.sessions, s.peer.Member.VM)
 	}
+	unneeded := k.dropped
 	l.mu.Unlock()
-	l.opts.Handle(PeerDown{Peer: s.peer})
+	l.opts.Handle(PeerDown{Peer: s.peer, Unneeded: unneeded})
 }
 
 // forget drops a link and the addresses learned over it.
 func (l *Linker) forget(k *link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.forgetLocked(k)
+}
+
+func (l *Linker) forgetLocked(k *link) {
 	delete(l.links, k.address)
 	for vm, known := range l.addresses {
 		if known.Address == k.address {
--- a/internal/peerlinker/options.go
+++ b/internal/peerlinker/options.go
@@ -20,6 +20,9 @@
 	// ForgetAfter is how long an address that does not answer is dialed; 0 means
 	// DefaultForgetAfter.
 	ForgetAfter time.Duration
+	// UnneededLinger is how long a link is kept that neither VM needs; 0 means
+	// DefaultUnneededLinger.
+	UnneededLinger time.Duration
 	Allowed     func(peer Peer) bool // nil: every peer may connect
 }
 
@@ -60,3 +63,7 @@
 
 // DefaultForgetAfter is how long an address that does not answer is dialed.
 const DefaultForgetAfter = 30 * time.Second
+
+// DefaultUnneededLinger is how long a link is kept that neither VM needs. The two may
+// learn at different times which VMs exist.
+const DefaultUnneededLinger = 5 * time.Second
--- a/internal/peerlinker/session.go
+++ b/internal/peerlinker/session.go
@@ -24,6 +24,8 @@
 
 	sentTable   []byte    // the last peer table sent; owned by shareTable
 	tableSentAt time.Time // zero: no table was sent
+
+	toldUnneeded bool // the peer was told that this VM doesn't need the link; guarded by the linker's mutex
 }
 
 func newSession(l *Linker, conn *websocket.Conn, tcp net.Conn, peer Peer) *session {
@@ -51,9 +53,9 @@
 	_ = tcp.SetLinger(linger) // it fails only if the connection is closed already
 }
 
-// serve sends messages and pings until either fails.
-func (s *session) serve() {
-	group, ctx := errgroup.WithContext(s.linker.ctx)
+// serve sends messages and pings until either fails or the context ends.
+func (s *session) serve(ctx context.Context) {
+	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.write(ctx) })
 	group.Go(func() error { return s.ping(ctx) })
 	group.Go(func() error {
--- a/internal/peerlinker/table.go
+++ b/internal/peerlinker/table.go
@@ -10,7 +10,8 @@
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
 
-// shareTable sends the peer table to all peers with a session at intervals.
+// shareTable sends the peer table to the peers with a session at intervals, and drops
+// the links that nobody needs.
 func (l *Linker) shareTable() error {
 	ticker := time.NewTicker(tableInterval)
 	defer ticker.Stop()
@@ -19,6 +20,7 @@
 		case <-l.ctx.Done():
 			return nil
 		case <-ticker.C:
+			l.reviewLinks()
 			l.sendTable()
 		}
 	}
@@ -68,6 +70,8 @@
 		if _, err := netip.ParseAddrPort(p.Address); err != nil {
 			continue
 		}
-		l.Connect(p.Address)
+		if l.keeps(p.VM) {
+			l.Connect(p.Address)
+		}
 	}
 }
--- a/internal/peermessenger/codec.go
+++ b/internal/peermessenger/codec.go
@@ -23,7 +23,7 @@
 
 // typeByKind maps each kind, the number that stands for a message type on the
 // wire, to that type. Numbers are never reused. Each group of messages has its
-// own hundred, except for 110 (PeerTable) and 403 (TasksFailed), which stand among the
+// own hundred, except for 110 and 111 (PeerTable, LinkNeed) and 403 (TasksFailed), which stand among the
 // numbers of other groups.
 var typeByKind = map[uint16]reflect.Type{
 	100: reflect.TypeFor[SubmitJob](),
@@ -39,6 +39,7 @@
 	500: reflect.TypeFor[QuotaRequest](),
 	501: reflect.TypeFor[QuotaTransfer](),
 	110: reflect.TypeFor[PeerTable](),
+	111: reflect.TypeFor[LinkNeed](),
 
 	200: reflect.TypeFor[RecordClaim](),
 	201: reflect.TypeFor[ClaimRecorded](),
--- a/internal/peermessenger/peermessages.go
+++ b/internal/peermessenger/peermessages.go
@@ -15,4 +15,11 @@
 	Address string                   `cbor:"3,keyasint"`
 }
 
+// LinkNeed tells a peer whether the sender needs the link that the peer keeps to it.
+// Until then the peer takes it that the sender does.
+type LinkNeed struct {
+	Needed bool `cbor:"1,keyasint"`
+}
+
 func (PeerTable) isPeerMessage() {}
+func (LinkNeed) isPeerMessage()  {}
--- a/internal/repeater/assignment.go
+++ b/internal/repeater/assignment.go
@@ -61,10 +61,17 @@
 		}
 	}
 	for i := range in.groups {
-		if g := &in.groups[i]; len(g.live) == 0 {
+		g := &in.groups[i]
+		g.weight += m.unheardWeight[i]
+		if len(g.live) == 0 && (i == m.ownPart || !m.sparse) {
 			g.weight = 0
 		}
 	}
+	if m.sparse { // then most live VMs are not heard
+		for _, vm := range m.listedVMs {
+			occupied[vm.Domain] = true
+		}
+	}
 	for _, d := range m.serverDomains {
 		if !occupied[d] {
 			in.vacant = append(in.vacant, d)
--- a/internal/repeater/effect.go
+++ b/internal/repeater/effect.go
@@ -44,6 +44,13 @@
 	Message peermessenger.Message
 }
 
+// KeepLinks says which VMs this one needs links to: all that it learns of, or some of
+// those that the store lists. Links that the other VM needs are kept, too.
+type KeepLinks struct {
+	All bool
+	VMs []identifier.VMID // sorted
+}
+
 // StartRun tells a backend server to start a run.
 type StartRun struct {
 	Call    CallID
@@ -88,6 +95,7 @@
 func (ReadRoutes) isEffect()     {}
 func (SendMessage) isEffect()    {}
 func (Broadcast) isEffect()      {}
+func (KeepLinks) isEffect()      {}
 func (StartRun) isEffect()       {}
 func (StopRun) isEffect()        {}
 func (Poll) isEffect()           {}
--- a/internal/repeater/event.go
+++ b/internal/repeater/event.go
@@ -39,7 +39,10 @@
 }
 
 // PeerUnlinked reports that messages to a peer may have been lost.
-type PeerUnlinked struct{ Peer identifier.Member }
+type PeerUnlinked struct {
+	Peer     identifier.Member
+	Unneeded bool // the link was given up because neither VM needs it
+}
 
 // PeerMessage delivers a message from a peer.
 type PeerMessage struct {
@@ -63,7 +66,14 @@
 }
 
 // VMsListed delivers the VMs that the store lists, this one included.
-type VMsListed struct{ VMs []identifier.VMID }
+type VMsListed struct{ VMs []ListedVM }
+
+// ListedVM is an entry VM as the store lists it.
+type ListedVM struct {
+	ID     identifier.VMID
+	Domain identifier.FailureDomain
+	Weight int // as in Options
+}
 
 // StartAnswered delivers the outcome of StartRun.
 type StartAnswered struct {
--- a/internal/repeater/faults_test.go
+++ b/internal/repeater/faults_test.go
@@ -43,8 +43,35 @@
 // TestNoTaskRunsTwiceBesidePausedVM guards against an owner that continues a run after a
 // pause in which the run's home gave it up, while a cut loses the home's cancel.
 func TestNoTaskRunsTwiceBesidePausedVM(t *testing.T) {
-	if sim := simulate(40019, ignorePause, noDefect); len(sim.violations) > 0 {
-		t.Fatal(strings.Join(sim.violations, "\n"))
+	for _, seed := range []uint64{40019, 53502} {
+		if sim := simulate(seed, ignorePause, noDefect); len(sim.violations) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(sim.violations, "\n"))
+		}
+	}
+}
+
+// TestNoTaskRunsTwiceInASparseFleet simulates fleets whose VMs keep links only to their
+// neighborhoods and to a few contacts.
+func TestNoTaskRunsTwiceInASparseFleet(t *testing.T) {
+	const length = 14 * time.Second
+	for seed := *firstHistory; seed < *firstHistory+*histories/5; seed++ {
+		sim := newSimulation(seed, simConfig{
+			vms: 10 + int(seed%5), servers: 24, jobs: 200, faults: 6 + int(seed%9), lateCalls: 0.01 * float64(seed%4),
+			lostAnswers: 0.01 * float64(seed%3), failedRuns: 0.01, neighborhood: 3, farContacts: 3,
+		})
+		for range 4 {
+			sim.schedule(sim.randomDuration(1500*time.Millisecond, length), sim.injectPause)
+			sim.schedule(sim.randomDuration(1500*time.Millisecond, length), sim.injectKill)
+		}
+		sim.submitJobs(length)
+		sim.scheduleFaults(length)
+		sim.run(length + 6*time.Second)
+		if len(sim.violations) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(sim.violations, "\n"), strings.Join(sim.trace, "\n"))
+		}
+		if len(sim.dropped) == 0 {
+			t.Errorf("seed %d: no link was given up", seed)
+		}
 	}
 }
 
--- a/internal/repeater/fleetsize_test.go
+++ b/internal/repeater/fleetsize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,12 +12,13 @@
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
 
-// fleetVM is one VM of a large fleet whose other VMs only report to it.
+// fleetVM is one VM of a large fleet. The VMs that it needs links to only report to it.
 type fleetVM struct {
 	machine *Machine
 	now     time.Time
 	peers   []*fleetPeer
 	sent    int // load reports
+	keeps   KeepLinks
 }
 
 // fleetPeer is a VM that reports to the fleetVM at the interval that the two have.
@@ -48,8 +50,13 @@
 		})
 	}
 	f.step(ServersChanged{Revision: 1, Servers: servers})
+	var listed []ListedVM
 	for i := range vms {
-		if i == index {
+		listed = append(listed, ListedVM{ID: vmID(i), Domain: fleetDomain(i), Weight: 200})
+	}
+	f.step(VMsListed{VMs: listed})
+	for i := range vms {
+		if i == index || !f.keeps.All && !slices.Contains(f.keeps.VMs, vmID(i)) {
 			continue
 		}
 		p := &fleetPeer{member: identifier.Member{VM: vmID(i), Incarnation: 1}, domain: fleetDomain(i)}
@@ -69,6 +76,8 @@
 		switch effect := effect.(type) {
 		case Broadcast:
 			f.sent += len(effect.To)
+		case KeepLinks:
+			f.keeps = effect
 		case Poll:
 			f.step(PollAnswered{Call: effect.Call, Result: PollResult{Status: PollOK}, Clock: ServerClock{Known: true, Now: ServerTime(time.Hour), Generation: 1}})
 		}
@@ -111,7 +120,7 @@
 		}
 		for i := range vms {
 			isNear := neighbors(vmID(index), vmID(i), fleetDomain(index), fleetDomain(i), vms, vms/fleetDomains, defaultNeighborhood)
-			if i != index && !isNear && contacts(vmID(index), vmID(i), vms-1-near) {
+			if i != index && !isNear && contacts(vmID(index), vmID(i), vms-1-near, defaultFarContacts) {
 				contact++
 			}
 		}
@@ -123,20 +132,26 @@
 	return nil
 }
 
-// TestSteadyWorkDoesNotGrowWithTheFleet guards against load reports, and against owners
-// that are computed, in proportion to the fleet.
+// TestSteadyWorkDoesNotGrowWithTheFleet guards against links, load reports, and owners that
+// are computed, in proportion to the fleet.
 func TestSteadyWorkDoesNotGrowWithTheFleet(t *testing.T) {
 	const span, neighbors, contacts = 50 * time.Second, 13, 8
-	type work struct{ reports, assignments float64 }
+	type work struct {
+		links                int
+		reports, assignments float64
+	}
 	measured := make(map[int]work)
 	for _, vms := range []int{150, 300, 1000} {
 		f := typicalFleetVM(t, vms, neighbors, contacts)
 		sent, computed := f.sent, f.machine.Counters().Assignments
 		f.run(span)
-		measured[vms] = work{float64(f.sent-sent) / span.Seconds(), float64(f.machine.Counters().Assignments - computed)}
+		measured[vms] = work{len(f.keeps.VMs), float64(f.sent-sent) / span.Seconds(), float64(f.machine.Counters().Assignments - computed)}
 		t.Logf("%d VMs: %+v a second", vms, measured[vms])
 	}
 	for _, vms := range []int{300, 1000} {
+		if measured[vms].links != neighbors+contacts {
+			t.Errorf("%d VMs: %d links are needed to %d neighbors and %d contacts", vms, measured[vms].links, neighbors, contacts)
+		}
 		if measured[vms].reports > 1.1*measured[150].reports {
 			t.Errorf("%d VMs: %.1f reports a second; 150 VMs: %.1f", vms, measured[vms].reports, measured[150].reports)
 		}
@@ -155,10 +170,15 @@
 		f := newFleetVM(0, vms)
 		before := f.machine.Counters().Assignments
 		neighborhood := uint64(f.machine.neighborCount+1) * fleetServersPerVM
-		f.peers[0].silent = true // vm-1, of another failure domain
+		for _, near := range []bool{true, false} {
+			i := slices.IndexFunc(f.peers, func(p *fleetPeer) bool { return f.machine.peers[p.member.VM].near == near })
+			if i >= 0 {
+				f.peers[i].silent = true
+			}
+		}
 		f.run(time.Minute)
 		if n := f.machine.Counters().Assignments - before; n > 3*neighborhood {
-			t.Errorf("%d VMs: %d owners computed for a lost VM; the neighborhood has about %d servers", vms, n, neighborhood)
+			t.Errorf("%d VMs: %d owners computed for two lost VMs; the neighborhood has about %d servers", vms, n, neighborhood)
 		}
 	}
 }
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -25,12 +25,16 @@
 	serverDomains   []identifier.FailureDomain // of the servers, sorted
 
 	peers         map[identifier.VMID]*peer
-	peersInOrder  []*peer // sorted; nil when peers has changed
-	neighborCount int     // peers in the neighborhood
-	contactCount  int     // contacts beyond it
-	domainParts   int     // neighborhoods of this VM's failure domain
-	ownPart       int     // the one of this VM
-	listedVMs     []identifier.VMID
+	peersInOrder  []*peer                      // sorted; nil when peers has changed
+	neighborCount int                          // other VMs in the neighborhood
+	contactCount  int                          // contacts beyond it
+	domainParts   int                          // neighborhoods of this VM's failure domain
+	ownPart       int                          // the one of this VM
+	listedVMs     map[identifier.VMID]ListedVM // this one included
+	unheardWeight []int                        // of the listed VMs of this VM's failure domain that are no peers, by neighborhood
+	farCount      int                          // known VMs beyond the neighborhood
+	keptLinks     KeepLinks                    // the latest effect of that kind
+	sparse        bool                         // this VM keeps no links to most of those
 
 	// State as a home.
 	jobs         map[identifier.SubmissionID]*openJob
@@ -80,6 +84,8 @@
 func New(now time.Time, opts Options) *Machine {
 	return &Machine{
 		domainParts:      1,
+		unheardWeight:    make([]int, 1),
+		keptLinks:        KeepLinks{All: true},
 		opts:             opts,
 		now:              now,
 		started:          now,
@@ -115,7 +121,7 @@
 	case PeerLinked:
 		m.handlePeerLinked(e)
 	case PeerUnlinked:
-		m.handlePeerUnlinked(e.Peer)
+		m.handlePeerUnlinked(e)
 	case PeerMessage:
 		m.handlePeerMessage(e)
 	case RoutesChanged:
@@ -125,7 +131,7 @@
 	case ServersChanged:
 		m.changeServers(e)
 	case VMsListed:
-		m.listedVMs = e.VMs
+		m.changeListedVMs(e.VMs)
 	case StartAnswered:
 		m.handleStartAnswered(e)
 	case StopAnswered:
--- a/internal/repeater/neighborhood.go
+++ b/internal/repeater/neighborhood.go
@@ -1,6 +1,7 @@
 package repeater
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,12 +21,12 @@
 	// other at short intervals: load reports then cost a small VM less than a
 	// tenth of its processor time.
 	defaultNeighborhood = 16
-	// maxFarContacts is the largest number of VMs beyond the neighborhood that are
-	// all contacts, with reports at long intervals.
-	maxFarContacts = 40
+	// defaultFarContacts is the largest number of VMs beyond the neighborhood that
+	// are all contacts, with reports at long intervals.
+	defaultFarContacts = 40
 	// maxContacts is the usual bound of the contacts, with reports at short
-	// intervals, where more VMs than maxFarContacts are beyond the neighborhood. A
-	// VM has half of it or more on average.
+	// intervals, where more VMs are beyond the neighborhood. A VM has half of it or
+	// more on average.
 	maxContacts = 12
 	// minFarReportInterval is the shortest time between two load reports to a VM
 	// that is no neighbor, and maxFarReportsPerSecond bounds those to all such VMs.
@@ -69,19 +70,45 @@
 
 // contacts reports whether two VMs that are not neighbors are contacts: all of them
 // if they are few, otherwise pairs chosen by a hash.
-func contacts(a, b identifier.VMID, far int) bool {
-	if far <= maxFarContacts {
+func contacts(a, b identifier.VMID, far, bound int) bool {
+	if far <= bound {
 		return true
 	}
 	h := xxhash.Sum64String(string(min(a, b)) + "\x00" + string(max(a, b)))
-	return h%uint64(partsOf(far, maxContacts)) == 0
+	return h%uint64(partsOf(far, min(bound, maxContacts))) == 0
 }
 
-// updateNeighbors determines the neighborhood and the contacts of this VM.
+// changeListedVMs replaces the VMs that the store lists.
+func (m *Machine) changeListedVMs(vms []ListedVM) {
+	m.listedVMs = make(map[identifier.VMID]ListedVM, len(vms))
+	for _, vm := range vms {
+		m.listedVMs[vm.ID] = vm
+	}
+	m.updateNeighbors()
+	m.emit(m.keptLinks) // an address may have changed
+}
+
+// knownVMs returns the failure domains of the other VMs that this one has heard of
+// lately or that the store lists.
+func (m *Machine) knownVMs() map[identifier.VMID]identifier.FailureDomain {
+	known := make(map[identifier.VMID]identifier.FailureDomain, len(m.listedVMs)+len(m.peers))
+	for id, vm := range m.listedVMs {
+		known[id] = vm.Domain
+	}
+	for id, p := range m.peers {
+		known[id] = p.domain
+	}
+	delete(known, m.opts.Self.VM)
+	return known
+}
+
+// updateNeighbors determines the neighborhood and the contacts of this VM, and the
+// links that it needs. In a large fleet these are the links to both.
 func (m *Machine) updateNeighbors() {
-	inDomain, fleet, bound := 1, len(m.peers)+1, m.opts.maxNeighborhood()
-	for _, p := range m.peers {
-		if p.domain == m.opts.Domain {
+	known, bound := m.knownVMs(), m.opts.maxNeighborhood()
+	inDomain, fleet := 1, len(known)+1
+	for _, domain := range known {
+		if domain == m.opts.Domain {
 			inDomain++
 		}
 	}
@@ -90,29 +117,53 @@
 		m.domainParts = partsOf(inDomain, bound)
 	}
 	m.ownPart = partOf(m.opts.Self.VM, m.domainParts)
-	m.neighborCount, m.contactCount = 0, 0
-	for id, p := range m.peers {
-		p.part = partOf(id, m.domainParts)
-		p.near = neighbors(m.opts.Self.VM, id, m.opts.Domain, p.domain, fleet, inDomain, bound)
-		if p.near {
-			m.neighborCount++
+	near := make(map[identifier.VMID]bool)
+	for id, domain := range known {
+		if neighbors(m.opts.Self.VM, id, m.opts.Domain, domain, fleet, inDomain, bound) {
+			near[id] = true
 		}
 	}
-	for id, p := range m.peers {
-		p.contact = !p.near && contacts(m.opts.Self.VM, id, m.farCount())
-		if p.contact {
+	m.neighborCount, m.contactCount, m.farCount = len(near), 0, len(known)-len(near)
+	m.sparse = m.fewContacts() && len(m.listedVMs) > 0
+	needed := KeepLinks{All: !m.sparse}
+	m.unheardWeight = make([]int, m.domainParts)
+	for id, domain := range known {
+		contact := !near[id] && contacts(m.opts.Self.VM, id, m.farCount, m.opts.maxFarContacts())
+		if contact {
 			m.contactCount++
 		}
+		if m.sparse && (near[id] || contact || domain == "") {
+			needed.VMs = append(needed.VMs, id)
+		}
+		p := m.peers[id]
+		if p == nil {
+			if domain == m.opts.Domain {
+				m.unheardWeight[partOf(id, m.domainParts)] += max(m.listedVMs[id].Weight, 1)
+			}
+			continue
+		}
+		p.near, p.contact, p.part = near[id], contact, partOf(id, m.domainParts)
+	}
+	slices.Sort(needed.VMs)
+	if needed.All != m.keptLinks.All || !slices.Equal(needed.VMs, m.keptLinks.VMs) {
+		m.keptLinks = needed
+		m.emit(needed)
 	}
 }
 
-// farCount returns the number of peers beyond the neighborhood.
-func (m *Machine) farCount() int { return len(m.peers) - m.neighborCount }
+// fewContacts reports whether so many VMs are beyond the neighborhood that only some
+// of them are contacts.
+func (m *Machine) fewContacts() bool { return m.farCount > m.opts.maxFarContacts() }
+
+// neighborhoodHas reports whether a listed VM is in this VM's neighborhood.
+func (m *Machine) neighborhoodHas(id identifier.VMID) bool {
+	return m.listedVMs[id].Domain == m.opts.Domain && partOf(id, m.domainParts) == m.ownPart
+}
 
 // farReportInterval returns the time between two load reports to a VM that is neither
 // a neighbor nor, in a large fleet, a contact.
 func (m *Machine) farReportInterval() time.Duration {
-	return max(minFarReportInterval, time.Duration(m.farCount())*time.Second/maxFarReportsPerSecond)
+	return max(minFarReportInterval, time.Duration(m.farCount)*time.Second/maxFarReportsPerSecond)
 }
 
 // markSharing records that this VM and a peer share a task.
@@ -176,13 +227,13 @@
 // reportsOften reports whether this VM and a peer report to each other at short
 // intervals, whether they share tasks or not.
 func (m *Machine) reportsOften(p *peer) bool {
-	return p.near || p.contact && m.farCount() > maxFarContacts
+	return p.near || p.contact && m.fewContacts()
 }
 
 // oftenCount returns the number of peers to which this VM always reports at short
 // intervals.
 func (m *Machine) oftenCount() int {
-	if m.farCount() > maxFarContacts {
+	if m.fewContacts() {
 		return m.neighborCount + m.contactCount
 	}
 	return m.neighborCount
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -15,10 +15,20 @@
 	// MaxNeighborhood is the largest number of VMs that all report to each other
 	// at short intervals; 0 selects the default.
 	MaxNeighborhood int
+	// MaxFarContacts is the largest number of VMs beyond the neighborhood that are all
+	// contacts; 0 selects the default.
+	MaxFarContacts int
 
 	defects defects
 }
 
+func (o Options) maxFarContacts() int {
+	if o.MaxFarContacts > 0 {
+		return o.MaxFarContacts
+	}
+	return defaultFarContacts
+}
+
 func (o Options) maxNeighborhood() int {
 	if o.MaxNeighborhood > 0 {
 		return o.MaxNeighborhood
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -124,10 +124,20 @@
 	m.claimRuns(p.member, "")
 }
 
-func (m *Machine) handlePeerUnlinked(member identifier.Member) {
-	if p := m.peers[member.VM]; p != nil && p.member == member {
-		p.linked = false
-		m.logDecision("peerUnlinked", "peer", member, "silence", m.now.Sub(p.lastHeard))
+func (m *Machine) handlePeerUnlinked(e PeerUnlinked) {
+	p := m.peers[e.Peer.VM]
+	if p == nil || p.member != e.Peer {
+		return
+	}
+	p.linked = false
+	m.logDecision("peerUnlinked", "peer", e.Peer, "silence", m.now.Sub(p.lastHeard), "unneeded", e.Unneeded)
+	if e.Unneeded && !p.sharesTasks {
+		if vm, ok := m.listedVMs[e.Peer.VM]; ok && vm.Domain == "" {
+			vm.Domain = p.domain
+			m.listedVMs[e.Peer.VM] = vm
+		}
+		delete(m.peers, e.Peer.VM) // its silence says nothing
+		m.updatePeerSet()
 	}
 }
 
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -25,6 +25,7 @@
 	routes    *simRoutes
 	held      map[[2]int]*heldLink
 	cut       map[[2]int]bool // directed links between VMs that lose all messages
+	dropped   map[[2]int]bool // directed links between VMs that were given up
 	trace     []string
 
 	verbose    bool // the trace contains the decisions
@@ -42,6 +43,7 @@
 	failedRuns   float64
 	maxRunTime   time.Duration // of a task; 0 selects the default
 	neighborhood int           // 0 selects the default
+	farContacts  int           // 0 selects the default
 
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
@@ -54,6 +56,7 @@
 	simLease       = time.Second
 	simResendDelay = 1300 * time.Millisecond
 	simPatience    = 1500 * time.Millisecond // how long callers wait beyond three times the objective
+	simWeight      = 400
 	simTick        = 40 * time.Millisecond
 	simPool        = identifier.PoolID("pool")
 	simCores       = identifier.Millicores(32000)
@@ -93,6 +96,8 @@
 		start: start,
 		cut:   make(map[[2]int]bool),
 		held:  make(map[[2]int]*heldLink),
+
+		dropped: make(map[[2]int]bool),
 	}
 	sim.routes = newSimRoutes(sim, seed)
 	for i := range cfg.servers {
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -20,6 +20,7 @@
 	lastStepAt time.Time
 	requests   map[RequestID]*simAttempt
 	routes     simVMRoutes
+	keeps      KeepLinks
 
 	lastReportFrom identifier.Member // sender of lastReport
 	lastReport     peermessenger.LoadReport
@@ -35,23 +36,24 @@
 		VM:          vmID(vm.index),
 		Incarnation: identifier.Incarnation(sim.now.UnixMilli()),
 	}
-	vm.machine = New(sim.now, Options{Self: vm.member, Domain: sim.domain(vm.index), Weight: 400, Bounds: Bounds{
+	vm.machine = New(sim.now, Options{Self: vm.member, Domain: sim.domain(vm.index), Weight: simWeight, Bounds: Bounds{
 		LongestLease: simLease, ResendDelay: simResendDelay,
-	}, MaxNeighborhood: sim.cfg.neighborhood, defects: sim.cfg.defect.machineDefects()})
+	}, MaxNeighborhood: sim.cfg.neighborhood, MaxFarContacts: sim.cfg.farContacts, defects: sim.cfg.defect.machineDefects()})
 	vm.lastStepAt = sim.now
 	vm.requests = make(map[RequestID]*simAttempt)
+	vm.keeps = KeepLinks{All: true}
 	vm.routes = simVMRoutes{open: make(map[RequestID]time.Time)}
 	vm.step(RoutesChanged{Table: sim.routes.table()})
 	vm.step(ServersChanged{Revision: 1, Servers: sim.serverList()})
-	vm.step(VMsListed{VMs: sim.vmIDs()})
+	vm.step(VMsListed{VMs: sim.listedVMs()})
 	vm.tick(vm.process)
 }
 
-func (sim *simulation) vmIDs() (ids []identifier.VMID) {
+func (sim *simulation) listedVMs() (vms []ListedVM) {
 	for i := range sim.cfg.vms {
-		ids = append(ids, vmID(i))
+		vms = append(vms, ListedVM{ID: vmID(i), Domain: sim.domain(i), Weight: simWeight})
 	}
-	return ids
+	return vms
 }
 
 func vmID(i int) identifier.VMID { return identifier.VMID(fmt.Sprintf("vm-%d", i)) }
@@ -72,6 +74,7 @@
 	if vm.machine == nil || to.machine == nil || vm.sim.cut[[2]int{vm.index, to.index}] {
 		return
 	}
+	delete(vm.sim.dropped, [2]int{vm.index, to.index})
 	vm.step(PeerLinked{Peer: to.member, Domain: vm.sim.domain(to.index)})
 }
 
@@ -192,6 +195,8 @@
 			if vm.sim.verbose {
 				vm.sim.tracef("  vm-%d %s %v", vm.index, e.Decision, e.Fields)
 			}
+		case KeepLinks:
+			vm.keepLinks(e)
 		case Drained:
 		}
 	}
@@ -230,6 +235,7 @@
 		}
 		link := [2]int{vm.index, to.index}
 		switch h := sim.held[link]; {
+		case sim.dropped[link]:
 		case h != nil:
 			h.messages = append(h.messages, deliver)
 		case !sim.cut[link]:
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -40,6 +40,7 @@
 			m.dropOwnership(o)
 		case o != nil && o.phase != phaseReleasing && assigned.owner != m.opts.Self.VM:
 			m.startDueRelease(o, assigned)
+			m.dropForeignServer(o, assigned)
 		}
 	}
 	for _, id := range m.ownedIDs() {
@@ -79,7 +80,7 @@
 // fleet, those that report to it at short intervals stand for all: the silence of
 // the others shows too late.
 func (m *Machine) inMajority() bool {
-	largeFleet := m.farCount() > maxFarContacts
+	largeFleet := m.fewContacts()
 	return m.hearsMost(func(p *peer) bool { return !largeFleet || m.reportsOften(p) })
 }
 
@@ -100,13 +101,17 @@
 }
 
 // knowsOwners reports whether this VM knows which servers its peers own: it has
-// listened for startupGrace, or has heard all VMs that the store lists.
+// listened for startupGrace, or has heard all VMs that the store lists and that can
+// own servers of its neighborhood.
 func (m *Machine) knowsOwners() bool {
 	if m.now.Sub(m.started) >= startupGrace {
 		return true
 	}
-	for _, id := range m.listedVMs {
-		if p := m.peers[id]; id != m.opts.Self.VM && (p == nil || !m.alive(p)) {
+	for id := range m.listedVMs {
+		if id == m.opts.Self.VM || m.sparse && !m.neighborhoodHas(id) {
+			continue
+		}
+		if p := m.peers[id]; p == nil || !m.alive(p) {
 			return false
 		}
 	}
@@ -210,6 +215,17 @@
 	}
 }
 
+// dropForeignServer gives a server up that belongs to a neighborhood of which this VM
+// knows no live VM, once nothing runs there. The VMs of that neighborhood know no owner
+// of it and take it over.
+func (m *Machine) dropForeignServer(o *ownedServer, assigned assignment) {
+	if !m.sparse || assigned.owner != "" || len(o.runs) > 0 || m.now.Sub(assigned.since) < max(minRebalanceDelay, 2*m.farReportInterval()) {
+		return
+	}
+	m.logDecision("serverDropped", "backend", o.ID, "cause", "it belongs to another neighborhood")
+	m.dropOwnership(o)
+}
+
 // rebalanceDelay returns how long the assigned owner of a server must stay the same
 // before this VM releases the server to it. VMs beyond the neighborhood may assign
 // the server differently until they have heard of the same VMs.
