fix(repeater): count a VM for 30 s after the store has stopped listing it

The number of VMs of a failure domain decides into how many neighborhoods it is divided, and the number beyond the neighborhood which of them are contacts.

A VM that the store no longer lists counts as before for forgetPeerAfter, as a silent peer does. TestLostEntriesMoveNothing takes half of 150 VMs off the list: without the change the needed links change at once.

--- a/internal/repeater/fleetsize_test.go
+++ b/internal/repeater/fleetsize_test.go
@@ -183,6 +183,34 @@
 	}
 }
 
+// TestLostEntriesMoveNothing guards against links and servers that move because the store
+// has lost the entries of VMs for a while.
+func TestLostEntriesMoveNothing(t *testing.T) {
+	const vms = 150
+	f := newFleetVM(0, vms)
+	links, before := f.keeps, f.machine.Counters()
+	var listed []ListedVM
+	for i := range vms {
+		if vm := (ListedVM{ID: vmID(i), Domain: fleetDomain(i), Weight: 200}); i%2 == 0 {
+			listed = append(listed, vm)
+		}
+	}
+	f.step(VMsListed{VMs: listed})
+	f.run(forgetPeerAfter / 2)
+	if after := f.machine.Counters(); !slices.Equal(f.keeps.VMs, links.VMs) || after.Assignments != before.Assignments {
+		t.Errorf("needed links before %v, after %v; %d owners computed", links.VMs, f.keeps.VMs, after.Assignments-before.Assignments)
+	}
+	for _, p := range f.peers {
+		p.silent = !slices.ContainsFunc(listed, func(vm ListedVM) bool { return vm.ID == p.member.VM })
+	}
+	f.run(2 * forgetPeerAfter)
+	for _, id := range f.keeps.VMs {
+		if !slices.ContainsFunc(listed, func(vm ListedVM) bool { return vm.ID == id }) {
+			t.Errorf("a link to %s is needed, which is gone", id)
+		}
+	}
+}
+
 // TestAssignments checks that VMs which know the same VMs assign each server to the
 // same one, or leave it to another neighborhood, and that a server belongs to a VM of
 // its failure domain if there is one.
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -30,7 +30,7 @@
 	contactCount  int                          // contacts beyond it
 	domainParts   int                          // neighborhoods of this VM's failure domain
 	ownPart       int                          // the one of this VM
-	listedVMs     map[identifier.VMID]ListedVM // this one included
+	listedVMs     map[identifier.VMID]listedVM // this one included
 	unheardWeight []int                        // of the listed VMs of this VM's failure domain that are no peers, by neighborhood
 	farCount      int                          // known VMs beyond the neighborhood
 	keptLinks     KeepLinks                    // the latest effect of that kind
@@ -183,6 +183,7 @@
 func (m *Machine) tick() {
 	m.updateSharing()
 	m.dropSilentPeers()
+	m.forgetMissingVMs()
 	m.trackMinority()
 	m.reconcileOwnership()
 	m.tickServers()
--- a/internal/repeater/neighborhood.go
+++ b/internal/repeater/neighborhood.go
@@ -78,16 +78,48 @@
 	return h%uint64(partsOf(far, min(bound, maxContacts))) == 0
 }
 
-// changeListedVMs replaces the VMs that the store lists.
+// listedVM is a VM that the store lists or has listed lately.
+type listedVM struct {
+	ListedVM
+	missingSince time.Time // zero: the store lists it
+}
+
+// changeListedVMs replaces the VMs that the store lists. One that is missing now counts
+// for forgetPeerAfter: the store may have lost its entry, and what depends on the number
+// and the weight of the VMs should not change before the entry is back.
 func (m *Machine) changeListedVMs(vms []ListedVM) {
-	m.listedVMs = make(map[identifier.VMID]ListedVM, len(vms))
+	next := make(map[identifier.VMID]listedVM, len(vms))
 	for _, vm := range vms {
-		m.listedVMs[vm.ID] = vm
+		next[vm.ID] = listedVM{ListedVM: vm}
+	}
+	for id, vm := range m.listedVMs {
+		if _, listed := next[id]; listed {
+			continue
+		}
+		if vm.missingSince.IsZero() {
+			vm.missingSince = m.now
+		}
+		next[id] = vm
 	}
+	m.listedVMs = next
 	m.updateNeighbors()
 	m.emit(m.keptLinks) // an address may have changed
 }
 
+// forgetMissingVMs drops the VMs that the store has not listed for forgetPeerAfter.
+func (m *Machine) forgetMissingVMs() {
+	forgotten := false
+	for id, vm := range m.listedVMs {
+		if !vm.missingSince.IsZero() && m.now.Sub(vm.missingSince) > forgetPeerAfter {
+			delete(m.listedVMs, id)
+			forgotten = true
+		}
+	}
+	if forgotten {
+		m.updateNeighbors()
+	}
+}
+
 // knownVMs returns the failure domains of the other VMs that this one has heard of
 // lately or that the store lists.
 func (m *Machine) knownVMs() map[identifier.VMID]identifier.FailureDomain {
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -118,7 +118,8 @@
 	firstTakeoverBackoff = 500 * time.Millisecond
 	maxTakeoverBackoff   = 8 * time.Second
 	// forgetPeerAfter is how long a silent peer still counts among the VMs of which
-	// a majority must be heard.
+	// a majority must be heard, and how long a VM that the store no longer lists still
+	// counts in the fleet.
 	forgetPeerAfter = 30 * time.Second
 
 	// retryDelay is the pause before an owner is sought again for a task that none
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -107,8 +107,8 @@
 	if m.now.Sub(m.started) >= startupGrace {
 		return true
 	}
-	for id := range m.listedVMs {
-		if id == m.opts.Self.VM || m.sparse && !m.neighborhoodHas(id) {
+	for id, vm := range m.listedVMs {
+		if id == m.opts.Self.VM || !vm.missingSince.IsZero() || m.sparse && !m.neighborhoodHas(id) {
 			continue
 		}
 		if p := m.peers[id]; p == nil || !m.alive(p) {
