test(repeater): require no version of a store whose answer is lost in a later pause

The trace: the VM resumed after 3.4 s, asked the store, and was paused again for 160 ms while the answer was on its way; the simulation then lost that answer, as it loses half of those that wait through a pause. The VM refused requests for 0.5 s and went on with what it knew, as it should without an answer of the store. The simulation already requires no version when the read itself goes unanswered.

--- a/internal/repeater/simroutes_test.go
+++ b/internal/repeater/simroutes_test.go
@@ -129,16 +129,20 @@
 	}
 	var routes [][]Event // what one goroutine posts stays in order
 	var others []Event
+	lost, kept := false, false // answers of reads that began after the latest long pause
 	for _, e := range held {
 		switch e := e.(type) {
 		case RoutesChanged:
 			routes = append(routes, []Event{e})
 		case RoutesConfirmed: // follows the change that it confirms
+			fresh := !e.AsOf.Before(vm.machine.resumedAt)
 			if r.rand.Float64() < 0.5 {
+				lost = lost || fresh
 				routes = routes[:len(routes)-1]
 				r.deliver(vm, simWatchTimeout)
 				continue
 			}
+			kept = kept || fresh
 			routes[len(routes)-1] = append(routes[len(routes)-1], e)
 		case RouteRequested:
 			routes = append(routes, []Event{e})
@@ -146,6 +150,9 @@
 			others = append(others, e)
 		}
 	}
+	if lost && !kept {
+		vm.routes.required = 0 // as for a store that doesn't answer in time
+	}
 	r.rand.Shuffle(len(routes), func(i, j int) { routes[i], routes[j] = routes[j], routes[i] })
 	return append(slices.Concat(routes...), others...)
 }
