--- a/internal/repeater/faults_test.go
+++ b/internal/repeater/faults_test.go
@@ -30,8 +30,8 @@
 // kind of fault is frequent. In seed 1 of the first kind, an owner was paused
 // and then continued a run that its home had already rerun.
 func TestNoTaskRunsTwiceUnderStress(t *testing.T) {
-	const stressShare = 5 // each of the four kinds gets this fraction of the usual number of histories
-	for _, faultsOf := range []defect{noExpiry, noFencing, extendUnclaimed, ignorePause} {
+	const stressShare = 5 // each of the five kinds gets this fraction of the usual number of histories
+	for _, faultsOf := range []defect{noExpiry, noFencing, extendUnclaimed, ignorePause, keepRunsAfterPause} {
 		for seed := *firstHistory; seed < *firstHistory+*histories/stressShare; seed++ {
 			if sim := simulate(seed, faultsOf, noDefect); len(sim.violations) > 0 {
 				t.Fatalf("with the faults that show %q: seed %d: %s", faultsOf, seed, strings.Join(sim.violations, "\n"))
@@ -145,7 +145,12 @@
 	case routeAheadOfEvents, trustOldRoutes:
 		sim.cfg.routeChanges, sim.cfg.routeRequests = 40, 1200
 		sim.routes.schedule(length)
-	case ignorePause, acceptStaleRequests, keepRunsAfterPause:
+	case keepRunsAfterPause:
+		sim.cfg.maxRunTime = 3 * time.Second
+		for range 20 {
+			sim.schedule(sim.randomDuration(1500*time.Millisecond, length), sim.injectPauseInCut)
+		}
+	case ignorePause, acceptStaleRequests:
 		sim.cfg.maxRunTime = 3 * time.Second
 		for range 20 {
 			sim.schedule(sim.randomDuration(1500*time.Millisecond, length), sim.injectPause)
--- a/internal/repeater/simdefects_test.go
+++ b/internal/repeater/simdefects_test.go
@@ -35,7 +35,7 @@
 	for d, first := range map[defect]uint64{
 		skipOrphanWait: 0, extendUnclaimed: 0, acceptStaleRequests: 0, dropCancels: 0, replayReports: 0, ignorePause: 0,
 		routeAheadOfEvents: 0, trustOldRoutes: 0, holdMessages: 0,
-		noFencing: 120, noExpiry: 0, extendOnFirstPoll: 7, keepRunsAfterPause: 53502,
+		noFencing: 120, noExpiry: 0, extendOnFirstPoll: 7, keepRunsAfterPause: 0,
 	} {
 		t.Run(string(d), func(t *testing.T) {
 			t.Parallel()
--- a/internal/repeater/simfaults_test.go
+++ b/internal/repeater/simfaults_test.go
@@ -67,6 +67,19 @@
 
 func (sim *simulation) injectVMCut() { sim.cutOff(200*time.Millisecond, 5*time.Second) }
 
+// injectPauseInCut pauses a VM while it is cut off from some others, so that these give
+// tasks up unheard.
+func (sim *simulation) injectPauseInCut() {
+	vm := sim.randomVM()
+	for _, other := range sim.vms {
+		if other != vm && sim.chance(0.5) {
+			sim.cutPairFor(vm.index, other.index, sim.randomDuration(time.Second, 4*time.Second))
+		}
+	}
+	d := sim.randomDuration(200*time.Millisecond, 700*time.Millisecond)
+	sim.schedule(sim.randomDuration(0, 300*time.Millisecond), func() { vm.pause(d) })
+}
+
 // injectShortCut cuts a VM off for about as long as links hold messages.
 func (sim *simulation) injectShortCut() { sim.cutOff(200*time.Millisecond, 3500*time.Millisecond) }
 
