--- a/internal/peerlinker/options.go
+++ b/internal/peerlinker/options.go
@@ -23,7 +23,7 @@
 	// UnneededLinger is how long a link is kept that neither VM needs; 0 means
 	// DefaultUnneededLinger.
 	UnneededLinger time.Duration
-	Allowed     func(peer Peer) bool // nil: every peer may connect
+	Allowed        func(peer Peer) bool // nil: every peer may connect
 }
 
 const (
