fix(repeater): let few VMs take over servers of another failure domain as before

The rule that a VM which hears a minority leaves the servers of other domains alone came with the fleets of hundreds of VMs. In a fleet of seven, four of which are lost at once with both VMs of a domain among them, it would leave the servers of that domain unused until one of its VMs is back. It now holds only where a VM keeps links to some of the others; small fleets wait two seconds, as before.

--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -70,8 +70,9 @@
 		_, owns := p.view[id]
 		return !owns
 	}
-	if m.servers[id].Domain != m.opts.Domain {
-		return m.hearsMost(func(*peer) bool { return true }) // a domain that is cut off leaves the servers of the others alone
+	if m.sparse && m.servers[id].Domain != m.opts.Domain {
+		// A failure domain that is cut off leaves the servers of the others alone.
+		return m.hearsMost(func(*peer) bool { return true })
 	}
 	return m.inMajority() || m.now.Sub(p.lastHeard) > minorityTakeoverDelay
 }
