fix(jobserver): keep the connection of a call whose answer is late

Cause: at its timeout a call was given up, which closes its HTTP/1.1 connection. On a VM that is short of processor time many answers are a little late; each then cost a new connection, and with it the processor time that was missing. The estimate of the time of an answer also left the late ones out.

Change: the timeout reports the call as unanswered; the connection is kept for half a second more, and the late answer dropped. A call without an answer counts in the estimate with the time that it has waited.

--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -77,24 +77,37 @@
 }
 
 func (s *Server) startRun(call repeater.StartRun) {
-	ctx, cancel := context.WithTimeout(s.ctx, call.Timeout)
-	defer cancel()
 	started := time.Now()
-	result, clock := s.opts.BackendClient.Start(ctx, call)
-	s.latencies.recordStart(result, time.Since(started))
-	s.post(repeater.StartAnswered{Call: call.Call, Result: result, Clock: clock})
+	s.call(call.Timeout, func(ctx context.Context) repeater.Event {
+		result, clock := s.opts.BackendClient.Start(ctx, call)
+		s.latencies.recordStart(result, time.Since(started))
+		return repeater.StartAnswered{Call: call.Call, Result: result, Clock: clock}
+	}, repeater.StartAnswered{Call: call.Call, Result: repeater.StartUnanswered})
 }
 
 func (s *Server) stopRun(call repeater.StopRun) {
-	ctx, cancel := context.WithTimeout(s.ctx, call.Timeout)
-	defer cancel()
-	result, clock := s.opts.BackendClient.Stop(ctx, call)
-	s.post(repeater.StopAnswered{Call: call.Call, Result: result, Clock: clock})
+	s.call(call.Timeout, func(ctx context.Context) repeater.Event {
+		result, clock := s.opts.BackendClient.Stop(ctx, call)
+		return repeater.StopAnswered{Call: call.Call, Result: result, Clock: clock}
+	}, repeater.StopAnswered{Call: call.Call, Result: repeater.StopUnanswered})
 }
 
 func (s *Server) poll(call repeater.Poll) {
-	ctx, cancel := context.WithTimeout(s.ctx, call.Timeout)
+	s.call(call.Timeout, func(ctx context.Context) repeater.Event {
+		result, clock := s.opts.BackendClient.Poll(ctx, call)
+		return repeater.PollAnswered{Call: call.Call, Result: result, Clock: clock}
+	}, repeater.PollAnswered{Call: call.Call, Result: repeater.PollResult{Status: repeater.PollUnanswered}})
+}
+
+// call makes a call to a backend server and reports its answer, or after the timeout
+// that there is none. A late answer is dropped, but awaited for lateAnswerTime, since
+// giving the call up closes its connection: when a VM is short of processor time, many
+// answers are a little late, and new connections for them would make it shorter still.
+func (s *Server) call(timeout time.Duration, call func(context.Context) repeater.Event, unanswered repeater.Event) {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout+lateAnswerTime)
 	defer cancel()
-	result, clock := s.opts.BackendClient.Poll(ctx, call)
-	s.post(repeater.PollAnswered{Call: call.Call, Result: result, Clock: clock})
+	reported := time.AfterFunc(timeout, func() { s.post(unanswered) })
+	if answer := call(ctx); reported.Stop() {
+		s.post(answer)
+	}
 }
--- a/internal/jobserver/options.go
+++ b/internal/jobserver/options.go
@@ -33,4 +33,7 @@
 	// this VM counts as paused: several ticks, and less than half the time that
 	// peers wait.
 	pauseThreshold = 180 * time.Millisecond
+	// lateAnswerTime is how long the connection of a call to a backend server is kept
+	// for an answer that comes after the call's timeout.
+	lateAnswerTime = 500 * time.Millisecond
 )
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -56,8 +56,8 @@
 
 func (m *Machine) handleStartAnswered(e StartAnswered) {
 	call, o := m.closeCall(e.Call)
-	if e.Result != StartUnanswered && !call.issued.IsZero() {
-		m.startAnswers.add(m.now.Sub(call.issued))
+	if !call.issued.IsZero() {
+		m.startAnswers.add(m.now.Sub(call.issued)) // without an answer, the least time that it would have taken
 	}
 	if o == nil {
 		m.handleStaleStart(call, e.Result)
