--- a/internal/peerlinker/need.go
+++ b/internal/peerlinker/need.go
@@ -89,12 +89,10 @@
 	}
 }
 
-// dropLocked ends a link. The system delivers what was written to it.
+// dropLocked ends a link. As with any other end of a session, what the peer has not
+// received is lost.
 func (l *Linker) dropLocked(k *link) {
 	k.dropped = true
-	if s := l.sessions[k.vm]; s != nil {
-		s.setGraceful(true)
-	}
 	l.forgetLocked(k)
 	k.cancel()
 }
