feat(repeater): log servers that refuse connections, with their runs

Change: a poll whose connection is refused has a result of its own, and the first one logs serverGone with the runs at the server; the counter serversGone counts them. Decisions are unchanged.

--- a/internal/repeater/call.go
+++ b/internal/repeater/call.go
@@ -65,6 +65,7 @@
 	PollFenced
 	PollWrongServer
 	PollUnanswered
+	PollRefused // nothing listens at the server's address
 )
 
 // ActiveRun is a run that is active at a server.
--- a/internal/repeater/counters.go
+++ b/internal/repeater/counters.go
@@ -18,6 +18,7 @@
 	Released       uint64 `json:"released"`
 	OwnershipsLost uint64 `json:"fenced"`
 	Assignments    uint64 `json:"assignments"` // owners of servers that were computed
+	ServersGone    uint64 `json:"serversGone"` // servers that refused connections
 	PeersLost      uint64 `json:"peersLost"`
 	Stalled        uint64 `json:"stalled"` // lagging runs that were stopped
 	Pauses         uint64 `json:"pauses"`  // of this VM
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -1,6 +1,7 @@
 package repeater
 
 import (
+	"fmt"
 	"iter"
 	"maps"
 	"slices"
@@ -45,6 +46,7 @@
 	nextPollAt       time.Time
 	unansweredCalls  int       // consecutive calls without an answer
 	lastUnansweredAt time.Time // when a call last timed out
+	goneSince        time.Time // when it first refused a connection; zero: it has not since it last answered
 
 	slowdown       slowdown
 	failuresInRow  int
@@ -143,6 +145,15 @@
 	return slices.SortedFunc(maps.Values(o.runs), func(a, b *run) int { return compareRuns(a.ref, b.ref) })
 }
 
+// runNames returns the runs at the server for the log.
+func (o *ownedServer) runNames() []string {
+	names := make([]string, 0, len(o.runs))
+	for _, r := range o.sortedRuns() {
+		names = append(names, fmt.Sprintf("%v#%d", r.ref.Task, r.ref.Number))
+	}
+	return names[:min(len(names), maxLoggedTasks)]
+}
+
 // ownedIDs returns the servers of this VM, sorted.
 func (m *Machine) ownedIDs() []identifier.BackendID {
 	if m.ownedInOrder == nil {
--- a/internal/repeater/poll.go
+++ b/internal/repeater/poll.go
@@ -152,12 +152,26 @@
 		m.resetServer(o, "another process answers")
 	case PollUnanswered:
 		m.handleFailedPoll(o)
+	case PollRefused:
+		m.recordGone(o)
+		m.handleFailedPoll(o)
+	}
+}
+
+// recordGone records that nothing listens at a server's address.
+func (m *Machine) recordGone(o *ownedServer) {
+	if !o.goneSince.IsZero() {
+		return
 	}
+	o.goneSince = m.now
+	m.counters.ServersGone++
+	m.logDecision("serverGone", "backend", o.ID, "leaving", o.Leaving, "generation", o.generation, "runs", o.runNames(), "clockAge", m.now.Sub(o.clockAt))
 }
 
 // resetUnansweredCalls resets the count of unanswered calls of a server that
 // answers again.
 func (m *Machine) resetUnansweredCalls(o *ownedServer) {
+	o.goneSince = time.Time{}
 	if o.unansweredCalls == 0 {
 		return
 	}
@@ -169,7 +183,7 @@
 
 func (m *Machine) handleFailedPoll(o *ownedServer) {
 	if o.unansweredCalls == 0 {
-		m.logDecision("serverSilent", "backend", o.ID, "runs", len(o.runs), "clockAge", m.now.Sub(o.clockAt))
+		m.logDecision("serverSilent", "backend", o.ID, "runs", len(o.runs), "gone", !o.goneSince.IsZero(), "clockAge", m.now.Sub(o.clockAt))
 	}
 	o.unansweredCalls++
 	o.lastUnansweredAt = m.now
