test(repeater): bring about tasks that crash the servers that start them

Two tests simulate callers of jobs whose first task ends its server's process 12 ms after its start, and count starts and crashes for each task at the servers.

--- a/internal/repeater/call.go
+++ b/internal/repeater/call.go
@@ -34,11 +34,12 @@
 	StartWrongServer                        // another process answers at the address
 	StartNoTicket                           // the pool requires a ticket from the platform's advice service, and the start has none
 	StartUnanswered                         // it may have been carried out, or will be
+	StartNotSent                            // no connection to the server could be made
 )
 
 // String returns the outcome in the form that logs show.
 func (r StartResult) String() string {
-	names := [...]string{"", "accepted", "noRoom", "fenced", "superseded", "expired", "unhealthy", "invalid", "wrongServer", "noTicket", "unanswered"}
+	names := [...]string{"", "accepted", "noRoom", "fenced", "superseded", "expired", "unhealthy", "invalid", "wrongServer", "noTicket", "unanswered", "notSent"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/internal/repeater/simjob_test.go
+++ b/internal/repeater/simjob_test.go
@@ -17,7 +17,11 @@
 	runTime     time.Duration
 	attempts    int
 	refusals    int
-	starts      int // of its tasks, at servers
+	starts      int                           // of its tasks, at servers
+	crashing    map[identifier.TaskIndex]bool // tasks that crash each server that starts them
+	patience    time.Duration                 // how long the caller waits beyond three times the objective
+	crashes     map[identifier.TaskIndex]int  // of servers while they had a run of the task
+	taskStarts  map[identifier.TaskIndex]int  // starts of each task, at servers
 	done        bool
 	outcome     string
 	firstSentAt time.Time
@@ -53,7 +57,8 @@
 		j := &simJob{
 			sim: sim, id: identifier.SubmissionID(fmt.Sprintf("%016x", i+1)),
 			tasks: 1 + sim.rand.IntN(6), cores: identifier.Millicores(10000 + sim.rand.IntN(8000)),
-			runTime: sim.randomDuration(30*time.Millisecond, maxRunTime),
+			runTime: sim.randomDuration(30*time.Millisecond, maxRunTime), patience: simPatience,
+			crashing: make(map[identifier.TaskIndex]bool), crashes: make(map[identifier.TaskIndex]int), taskStarts: make(map[identifier.TaskIndex]int),
 		}
 		sim.jobs = append(sim.jobs, j)
 		sim.schedule(sim.randomDuration(2*time.Second, length), func() {
@@ -109,7 +114,7 @@
 }
 
 // budget returns how long the caller waits.
-func (j *simJob) budget() time.Duration { return simPatience + 3*j.objective() }
+func (j *simJob) budget() time.Duration { return j.patience + 3*j.objective() }
 
 // endUnanswered ends an attempt without an answer, and schedules the next.
 func (a *simAttempt) endUnanswered() {
@@ -146,6 +151,7 @@
 func (sim *simulation) checkStart(at *simServer, r *simRun) {
 	j := sim.jobOf(r.ref.Task)
 	j.starts++
+	j.taskStarts[r.ref.Task.Index]++
 	if sim.verbose {
 		sim.tracef("  %s starts %v", at.ID, r.ref)
 	}
--- a/internal/repeater/simserver_test.go
+++ b/internal/repeater/simserver_test.go
@@ -17,6 +17,7 @@
 	startedAt      time.Time
 	clockRate      float64 // of its clock, relative to real time
 	down           bool
+	refuses        bool         // while down, it refuses connections; otherwise it is silent
 	cutFrom        map[int]bool // VMs that can't reach it
 	token          identifier.FencingToken
 	leaseEnd       ServerTime
@@ -41,6 +42,7 @@
 
 type simPoll struct {
 	answer   func()
+	reset    func() // ends the poll's connection
 	answered bool
 }
 
@@ -179,6 +181,9 @@
 	}
 	s.runs[call.Run] = r
 	s.sim.checkStart(s, r)
+	if s.sim.jobOf(r.ref.Task).crashesServer(r.ref.Task.Index) {
+		s.sim.schedule(simCrashDelay, func() { s.crashUnder(r) })
+	}
 	how := EndDone
 	if s.sim.chance(s.sim.cfg.failedRuns) {
 		how = EndFailed
@@ -219,18 +224,29 @@
 
 // callServer simulates a call and its answer. The call may be late or not
 // arrive, and the answer may be lost. Without an answer within limit, lost is
-// called.
-func (sim *simulation) callServer(vm *simVM, server Server, limit time.Duration, call func(s *simServer) (answer func()), lost func()) {
+// called, and earlier if the server refuses the connection.
+func (sim *simulation) callServer(vm *simVM, server Server, limit time.Duration, call func(s *simServer) (answer func()), lost func(refused bool)) {
 	s := sim.servers[sim.serverIndex(server.ID)]
 	process := vm.process
 	answered := false
 	sim.schedule(limit, func() {
 		if !answered && vm.process == process {
 			answered = true
-			lost()
+			lost(false)
 		}
 	})
-	if s.cutFrom[vm.index] || s.down {
+	if s.cutFrom[vm.index] {
+		return
+	}
+	if s.down {
+		if s.refuses {
+			sim.schedule(simRefusalTime, func() {
+				if !answered && vm.process == process {
+					answered = true
+					lost(true)
+				}
+			})
+		}
 		return
 	}
 	delay := sim.randomDuration(150*time.Microsecond, 1500*time.Microsecond)
@@ -266,7 +282,13 @@
 		result := s.start(call)
 		clock := s.clock()
 		return func() { vm.step(StartAnswered{Call: call.Call, Result: result, Clock: clock}) }
-	}, func() { vm.step(StartAnswered{Call: call.Call, Result: StartUnanswered}) })
+	}, func(refused bool) {
+		result := StartUnanswered
+		if refused {
+			result = StartNotSent
+		}
+		vm.step(StartAnswered{Call: call.Call, Result: result})
+	})
 }
 
 func (sim *simulation) callStop(vm *simVM, call StopRun) {
@@ -274,7 +296,7 @@
 		result := s.stop(call)
 		clock := s.clock()
 		return func() { vm.step(StopAnswered{Call: call.Call, Result: result, Clock: clock}) }
-	}, func() { vm.step(StopAnswered{Call: call.Call, Result: StopUnanswered}) })
+	}, func(bool) { vm.step(StopAnswered{Call: call.Call, Result: StopUnanswered}) })
 }
 
 func (sim *simulation) callPoll(vm *simVM, call Poll) {
@@ -289,7 +311,13 @@
 		vm.step(PollAnswered{Call: call.Call, Result: result, Clock: clock})
 	}
 	sim.schedule(call.Timeout, func() { finish(PollResult{Status: PollUnanswered}, ServerClock{}) })
-	if s.cutFrom[vm.index] || s.down {
+	if s.cutFrom[vm.index] {
+		return
+	}
+	if s.down {
+		if s.refuses {
+			sim.schedule(simRefusalTime, func() { finish(PollResult{Status: PollRefused}, ServerClock{}) })
+		}
 		return
 	}
 	startedAt := s.startedAt
@@ -310,7 +338,7 @@
 			return
 		}
 		s.extendLease(call.Expires)
-		p := &simPoll{}
+		p := &simPoll{reset: func() { finish(PollResult{Status: PollUnanswered}, ServerClock{}) }}
 		p.answer = func() {
 			result, clock := s.listRuns(call), s.clock()
 			sim.schedule(sim.randomDuration(150*time.Microsecond, 1500*time.Microsecond), func() {
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -30,6 +30,8 @@
 
 	verbose    bool // the trace contains the decisions
 	violations []string
+	crashes    int // of servers
+	lostTwice  int // crashes of servers with a task that crashes none and was lost so before
 }
 
 // simConfig sets the size of a simulation and what happens in it.
@@ -48,6 +50,8 @@
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
 
+	silentCrashes bool // crashed servers are silent instead of refusing connections
+
 	linksHold time.Duration // links hold the messages of a cut up to this time; 0: they lose them
 	defect    defect
 }
@@ -61,6 +65,8 @@
 	simPool        = identifier.PoolID("pool")
 	simCores       = identifier.Millicores(32000)
 	simMaxStopTime = 50 * time.Millisecond
+	simRefusalTime = 300 * time.Microsecond // until a connection is refused
+	simCrashDelay  = 12 * time.Millisecond  // from the start of a task that crashes its server
 )
 
 type simEvent struct {
