fix(repeater): take no ending of an earlier server process for that of a later run

Callers could have had a task running twice at one moment. A VM that took a server over remembered the runs that it found ended there by task and number, for 5 s. When the server restarted and the job was submitted again, its run had the same task and number, and the VM answered the claim of its home with the old ending; the home started the task elsewhere.

Ruled out: the lease and the fence, whose times are as they should be.

The ending now counts only for the same process of the server; otherwise the claim waits for the next poll. TestNoEndingOfEarlierServerProcess fails without the change.

--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -26,9 +26,10 @@
 
 // endedRun records how a run ended, for its home.
 type endedRun struct {
-	home identifier.Member // empty: the run was found ended at takeover
-	msg  peermessenger.TaskEnded
-	at   time.Time
+	home       identifier.Member // empty: the run was found ended at takeover
+	msg        peermessenger.TaskEnded
+	at         time.Time
+	generation identifier.Generation // of its server; 0: unknown
 }
 
 func (m *Machine) registerCall(call serverCall) CallID {
@@ -170,7 +171,7 @@
 	if !r.startedAt.IsZero() {
 		msg.Elapsed = m.now.Sub(r.startedAt)
 	}
-	m.ended[r.ref] = endedRun{home: r.home, msg: msg, at: m.now}
+	m.ended[r.ref] = endedRun{home: r.home, msg: msg, at: m.now, generation: o.generation}
 	if r.home == (identifier.Member{}) {
 		return
 	}
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -437,8 +437,11 @@
 	if e, ok := m.ended[c.Run]; ok {
 		return e, true
 	}
-	e, ok := m.ended[c.Run.OnServer()] // had ended before the takeover
-	return e, ok && c.Backend != "" && e.msg.Backend == c.Backend
+	// It had ended before the takeover. A server that has restarted since may have the run
+	// of a later submission under the same reference.
+	e, ok := m.ended[c.Run.OnServer()]
+	o := m.owned[c.Backend]
+	return e, ok && o != nil && o.ID == e.msg.Backend && o.generation != 0 && o.generation == e.generation
 }
 
 // answerPendingClaims answers the claims that arrived before a poll was sent.
