fix(repeater): count the servers that crash under a task; isolate it, then give it up

Callers saw a task crash server after server until its caller gave up, other tasks of their own go down with it, and jobs refused for want of servers.

Cause: a run that ended with its server looked to its home like one that was moved for the server's sake. Nothing counted it, nothing kept other tasks away from its next run, and what an owner knew ended with it. Fault class: a retry without a budget, of work that harms what runs it. Ruled out: servers that are back and not used (they are listed 0.5 s later).

Change: crashcounter counts for each task the servers that crashed or fell silent under it. After the first crash the task runs alone on a server; after a second crash, alone, or a third in any case it is given up, and its job is answered as failed at once, on any VM that it is submitted to again. VMs repeat losses to each other in their load reports, so that they outlive owner and home. The tasks that were last to start on a crashed server are run again only while few servers are lost that way; the others, which are probably innocent, go first.

--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -18,6 +18,8 @@
 	Objective   time.Duration          `cbor:"8,keyasint"`  // time left until the job's objective
 	Avoid       []identifier.BackendID `cbor:"9,keyasint"`  // servers on which earlier runs failed
 	StoppedRuns int                    `cbor:"10,keyasint"` // earlier runs of the task that were stopped or lost, for any reason
+
+	Alone bool `cbor:"11,keyasint,omitempty"` // only on a server that runs nothing else
 }
 
 // TaskPlaced tells the home of a job that a server has started a run.
@@ -64,6 +66,8 @@
 	Ending  RunEnding            `cbor:"3,keyasint"`
 	Elapsed time.Duration        `cbor:"4,keyasint"` // of the run
 	Cause   string               `cbor:"5,keyasint"` // for logs
+
+	ServerLoss LossCause `cbor:"6,keyasint,omitempty"` // how its server was lost under the run; 0: it was not
 }
 
 // CancelRuns tells an owner that the results of runs are no longer needed.
@@ -120,6 +124,9 @@
 	ServersRevision uint64       `cbor:"7,keyasint"` // revision of the list of backend servers
 
 	Next time.Duration `cbor:"8,keyasint"` // longest time until the next report
+
+	Losses    []LostRun `cbor:"9,keyasint,omitempty"`  // that the sender has learned of lately
+	Isolating int       `cbor:"10,keyasint,omitempty"` // tasks that run alone on the sender's servers or wait for that
 }
 
 // DirectoryCopy sends the routes and the list of backend servers to a peer that
--- a/internal/repeater/counters.go
+++ b/internal/repeater/counters.go
@@ -17,8 +17,9 @@
 	Takeovers      uint64 `json:"takeovers"`
 	Released       uint64 `json:"released"`
 	OwnershipsLost uint64 `json:"fenced"`
-	Assignments    uint64 `json:"assignments"` // owners of servers that were computed
-	ServersGone    uint64 `json:"serversGone"` // servers that refused connections
+	Assignments    uint64 `json:"assignments"`  // owners of servers that were computed
+	ServersGone    uint64 `json:"serversGone"`  // servers that refused connections
+	TasksGivenUp   uint64 `json:"tasksGivenUp"` // tasks that were lost with too many servers
 	PeersLost      uint64 `json:"peersLost"`
 	Stalled        uint64 `json:"stalled"` // lagging runs that were stopped
 	Pauses         uint64 `json:"pauses"`  // of this VM
--- a/internal/repeater/crashes_test.go
+++ b/internal/repeater/crashes_test.go
@@ -44,6 +44,9 @@
 		sim.makeCrashing(0.05, 12*time.Second)
 		sim.run(length + 20*time.Second)
 		sim.checkCrashes(t, seed, maxCrashesOfTask)
+		if sim.lostTwice > 0 {
+			t.Errorf("seed %d: %d tasks that crash no server were lost with two", seed, sim.lostTwice)
+		}
 		for _, j := range sim.jobs {
 			if len(j.crashing) > 0 && j.starts > 0 && j.outcome != "failed" && j.outcome != "refused" {
 				t.Errorf("seed %d: job %s: a task crashes servers, outcome %q", seed, j.id, j.outcome)
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -32,6 +32,10 @@
 		m.refuseJob(e, r)
 		return
 	}
+	if index, found := m.findGivenUpTask(e.Job); found {
+		m.failGivenUpJob(e, index)
+		return
+	}
 	j := m.newJob(e)
 	targets, view := m.planTargets(j, allIndexes(len(j.tasks)))
 	fleet := view.admissionFleet(j, targets)
@@ -120,14 +124,14 @@
 		t.waitUntil = m.now.Add(retryDelay)
 		return
 	}
-	t.state, t.owner, t.intendedBackend, t.backend, t.sentAt = taskSent, to.owner, to.backend, "", m.now
+	t.state, t.owner, t.intendedBackend, t.backend, t.sentAt, t.alone = taskSent, to.owner, to.backend, "", m.now, to.alone
 	m.markSharing(to.owner)
 	if p := m.peers[to.owner.VM]; p != nil && p.member == to.owner {
 		p.recordSent(j.Job, to)
 	}
 	msg := peermessenger.RunTask{
 		Run: j.ref(index), Pool: j.Route.Pool, Spec: j.Spec, Millicores: j.Cores, Memory: j.Memory, Estimate: j.Estimate,
-		Priority: j.Route.Priority, Objective: j.objectiveAt.Sub(m.now), Avoid: t.avoid, StoppedRuns: t.stoppedRuns,
+		Priority: j.Route.Priority, Objective: j.objectiveAt.Sub(m.now), Avoid: t.avoid, StoppedRuns: t.stoppedRuns, Alone: to.alone,
 	}
 	m.sendMessage(to.owner, msg)
 }
@@ -209,6 +213,12 @@
 		return // a later owner has taken over the run
 	}
 	m.releasePending(j, t)
+	if msg.ServerLoss != 0 {
+		m.recordLoss(peermessenger.LostRun{Run: msg.Run, Backend: msg.Backend, Cause: msg.ServerLoss, Alone: t.alone})
+		if m.jobs[j.ID] != j {
+			return // the task was given up
+		}
+	}
 	if p := m.peers[from.VM]; p != nil && p.view != nil && msg.Backend != "" {
 		if v, ok := p.view[msg.Backend]; ok && t.state == taskPlaced {
 			v.free += j.Cores
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/crashcounter"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 	"github.com/peppertrack/peppertrack/internal/router"
@@ -61,9 +62,12 @@
 	callsLostUntil   time.Time // calls to servers that live were lost shortly before
 	ended            map[identifier.RunRef]endedRun
 	formerRuns       map[identifier.RunRef]formerRun
+	aloneLosses      []time.Time // when servers of any VM were lost under tasks that ran alone
 	assignmentInput  assignmentInput
 	assignedIDs      []identifier.BackendID // the servers in assignments, sorted
 
+	losses *crashcounter.Counter // of runs, on the servers of all VMs
+
 	minoritySince time.Time // zero: this VM hears a majority
 	fencedAt      time.Time // when this VM last lost a server to a higher token
 
@@ -103,6 +107,7 @@
 		calls:            make(map[CallID]serverCall),
 		ended:            make(map[identifier.RunRef]endedRun),
 		formerRuns:       make(map[identifier.RunRef]formerRun),
+		losses:           crashcounter.New(),
 	}
 }
 
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -100,6 +100,10 @@
 // the server.
 func (r *run) startUnanswered() bool { return !r.unansweredAt.IsZero() }
 
+// mayHaveStarted reports whether a call for the run has reached the server, as far as is
+// known.
+func (r *run) mayHaveStarted() bool { return r.state != runStarting }
+
 // usable reports whether the server accepts work, now or when current runs end.
 func (o *ownedServer) usable(now time.Time) bool {
 	return o.phase == phaseReady && o.listed && !o.Leaving && o.unansweredCalls == 0 && !now.Before(o.suspendedUntil)
@@ -109,12 +113,22 @@
 // room.
 func (o *ownedServer) canStart(now time.Time) bool {
 	onProbation := o.suspension > 0
-	if onProbation && len(o.runs) > 0 {
+	if onProbation && len(o.runs) > 0 || o.runsAlone() {
 		return false
 	}
 	return o.usable(now) && !now.Before(o.fullUntil) && o.clockKnown && !o.mustNotExtendLease(now)
 }
 
+// runsAlone reports whether the server is kept free for one run.
+func (o *ownedServer) runsAlone() bool {
+	for _, r := range o.runs {
+		if r.msg.Alone {
+			return true
+		}
+	}
+	return false
+}
+
 // free returns the capacity that no run occupies. A run counts until the server
 // lists its end.
 func (o *ownedServer) free() (identifier.Millicores, identifier.Mebibytes) {
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -57,7 +57,7 @@
 
 func (m *Machine) handleStartAnswered(e StartAnswered) {
 	call, o := m.closeCall(e.Call)
-	if !call.issued.IsZero() {
+	if !call.issued.IsZero() && e.Result != StartNotSent {
 		m.startAnswers.add(m.now.Sub(call.issued)) // without an answer, the least time that it would have taken
 	}
 	if o == nil {
@@ -84,6 +84,9 @@
 		m.counters.StartsFailed++
 		o.unansweredCalls++
 		o.lastUnansweredAt = m.now
+		if !o.goneSince.IsZero() {
+			m.recordLostRun(o, r, peermessenger.ServerCrashed)
+		}
 		if r.state == runStarting {
 			r.state, r.unansweredAt = runUnanswered, m.now
 			m.poll(o) // shows whether it runs
@@ -111,6 +114,10 @@
 	case StartExpired:
 		o.clockKnown = false
 		o.nextPollAt = m.now
+	case StartNotSent:
+		o.unansweredCalls++
+		o.lastUnansweredAt = m.now
+		o.nextPollAt = m.now
 	case StartUnhealthy:
 		m.recordServerFailure(o, "unhealthy")
 	case StartWrongServer:
@@ -165,9 +172,21 @@
 
 // endRun removes a run that has ended or never started, and tells its home.
 func (m *Machine) endRun(o *ownedServer, r *run, ending peermessenger.RunEnding, cause string) {
+	m.reportEnd(o, r, peermessenger.TaskEnded{Run: r.ref, Backend: o.ID, Ending: ending, Cause: cause})
+}
+
+// endLostRun removes a run that was lost with its server, and tells its home.
+func (m *Machine) endLostRun(o *ownedServer, r *run, loss peermessenger.LossCause, cause string) {
+	if o.Leaving {
+		loss = 0 // its shutdown is planned
+	}
+	m.recordLostRun(o, r, loss)
+	m.reportEnd(o, r, peermessenger.TaskEnded{Run: r.ref, Backend: o.ID, Ending: peermessenger.RunStopped, Cause: cause, ServerLoss: loss})
+}
+
+func (m *Machine) reportEnd(o *ownedServer, r *run, msg peermessenger.TaskEnded) {
 	m.dropRun(o, r)
 	m.reportChanged = true
-	msg := peermessenger.TaskEnded{Run: r.ref, Backend: o.ID, Ending: ending, Cause: cause}
 	if !r.startedAt.IsZero() {
 		msg.Elapsed = m.now.Sub(r.startedAt)
 	}
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -36,6 +36,7 @@
 	view            map[identifier.BackendID]serverView
 	viewIDs         []identifier.BackendID // the servers in view, sorted
 	queued          peermessenger.QueuedWork
+	isolating       int                                            // tasks alone on its servers, as reported and sent since
 	unplacedWork    int64                                          // sent since its last report, to no server with room
 	pending         map[identifier.BackendID]identifier.Millicores // sent, and not yet reported as started or ended
 	routesVersion   uint64
@@ -200,6 +201,10 @@
 	p.reported, p.lastReportNumber, p.weight, p.draining = true, r.Sequence, r.Weight, r.Draining
 	p.announcedInterval = r.Next
 	p.queued, p.unplacedWork, p.routesVersion, p.serversRevision = r.Queued, 0, r.RoutesVersion, r.ServersRevision
+	p.isolating = r.Isolating
+	for _, loss := range r.Losses {
+		m.recordLoss(loss)
+	}
 	previous := p.view
 	p.view = make(map[identifier.BackendID]serverView, len(r.Servers))
 	p.viewIDs = make([]identifier.BackendID, 0, len(r.Servers))
@@ -248,6 +253,10 @@
 // peer reported.
 func (p *peer) recordSent(j Job, to target) {
 	p.pending[to.backend] += j.Cores
+	if to.alone {
+		p.isolating++
+		return
+	}
 	if !to.fits {
 		p.unplacedWork += taskWork(j.Cores, j.Estimate)
 		return
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/peppertrack/peppertrack/internal/admitter"
+	"github.com/peppertrack/peppertrack/internal/crashcounter"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/packer"
 )
@@ -14,6 +15,7 @@
 	owner   identifier.Member
 	backend identifier.BackendID // the server that seems to have room
 	fits    bool
+	alone   bool // the owner keeps a server free for the task
 }
 
 // fleetView is a home's view of the servers that may run a job.
@@ -28,6 +30,8 @@
 type backlog struct {
 	owner    identifier.Member
 	capacity identifier.Millicores
+	servers  int
+	isolated int   // tasks that run or will run alone
 	ahead    int64 // that the job would wait for
 	work     int64 // ahead, and the tasks of the job that were added since
 }
@@ -42,7 +46,7 @@
 			continue
 		}
 		free, mem := identifier.Millicores(0), identifier.Mebibytes(0)
-		if o.canStart(m.now) && len(m.queue) == 0 {
+		if o.canStart(m.now) && !m.sharedTasksQueued() {
 			free, mem = o.free()
 		}
 		f.add(m.opts.Self, o.Server, free, mem, false, false)
@@ -50,6 +54,7 @@
 	if b := f.backlog[m.opts.Self.VM]; b != nil {
 		b.ahead = workUpTo(m.queuedWork(), j.Route.Priority)
 		b.work = b.ahead
+		b.isolated = m.isolating()
 	}
 	m.addPeerServers(f, j, true)
 	return f
@@ -73,6 +78,7 @@
 		if b := f.backlog[p.member.VM]; b != nil {
 			b.ahead = workUpTo(p.queued, j.Route.Priority) + p.unplacedWork
 			b.work = b.ahead
+			b.isolated = p.isolating
 		}
 	}
 }
@@ -94,6 +100,7 @@
 		f.backlog[owner.VM] = b
 	}
 	b.capacity += s.Cores
+	b.servers++
 }
 
 // planTargets chooses a target for each of a job's tasks: a server with room in
@@ -106,6 +113,10 @@
 	targets := make([]target, len(tasks))
 	for n, index := range tasks {
 		avoid := j.tasks[index].avoid
+		if m.losses.Verdict(j.ref(index).Task) != crashcounter.RunShared {
+			targets[n] = f.leastIsolating(j, avoid)
+			continue
+		}
 		i := packer.Pick(f.servers, demand, avoid)
 		if i < 0 && !searchedAll {
 			searchedAll = true
--- a/internal/repeater/poll.go
+++ b/internal/repeater/poll.go
@@ -166,6 +166,7 @@
 	o.goneSince = m.now
 	m.counters.ServersGone++
 	m.logDecision("serverGone", "backend", o.ID, "leaving", o.Leaving, "generation", o.generation, "runs", o.runNames(), "clockAge", m.now.Sub(o.clockAt))
+	m.recordLostRuns(o, (*run).mayHaveStarted)
 }
 
 // resetUnansweredCalls resets the count of unanswered calls of a server that
@@ -312,9 +313,11 @@
 		m.reportChanged = true
 	}
 	o.generation = c.Generation
+	ofEarlier := func(r *run) bool { return r.generation != 0 && r.generation != c.Generation }
+	m.recordLostRuns(o, ofEarlier)
 	for _, r := range o.sortedRuns() {
-		if r.generation != 0 && r.generation != c.Generation {
-			m.endRun(o, r, peermessenger.RunStopped, "its server has restarted")
+		if ofEarlier(r) {
+			m.endLostRun(o, r, peermessenger.ServerCrashed, "its server has restarted")
 		}
 	}
 }
@@ -323,8 +326,13 @@
 // takeover of its new process.
 func (m *Machine) resetServer(o *ownedServer, cause string) {
 	m.logDecision("serverReset", "backend", o.ID, "cause", cause, "runs", len(o.runs), "generation", o.generation)
+	m.recordLostRuns(o, (*run).mayHaveStarted)
 	for _, r := range o.sortedRuns() {
-		m.endRun(o, r, peermessenger.RunStopped, cause)
+		if r.mayHaveStarted() {
+			m.endLostRun(o, r, peermessenger.ServerCrashed, cause)
+		} else {
+			m.endRun(o, r, peermessenger.RunStopped, cause)
+		}
 	}
 	o.generation, o.lastSeenEnd, o.leaseEnd, o.clockKnown = 0, 0, 0, false
 	o.phase = phaseTaking
@@ -365,7 +373,7 @@
 	for _, r := range o.sortedRuns() {
 		switch {
 		case lapsed && r.state != runStarting:
-			m.endRun(o, r, peermessenger.RunStopped, "its lease has lapsed on a silent server")
+			m.endLostRun(o, r, o.lossCause(), "its lease has lapsed on a silent server")
 		case r.state == runUnanswered && m.now.Sub(r.unansweredAt) >= unansweredStartGrace:
 			m.stopRun(o, r, "the start got no answer")
 		case r.state == runStopping && r.stoppedAt.IsZero() && (r.stopCall != 0 || !m.now.Before(r.stopRetryAt)):
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -120,10 +120,11 @@
 	}
 	ids := m.ownedIDs()
 	servers := m.startableServers(ids)
+	m.startTasksAlone(servers)
 	reserved := false
 	kept := m.queue[:0]
 	for _, q := range m.queue {
-		if m.runsOfTask[q.msg.Run.Task] > 0 {
+		if m.runsOfTask[q.msg.Run.Task] > 0 || q.msg.Alone {
 			kept = append(kept, q)
 			continue
 		}
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -14,6 +14,12 @@
 	// copyDelay is how long a peer may take to read a change from the store
 	// before it is sent a copy: several response times of the store.
 	copyDelay = 300 * time.Millisecond
+
+	// reportsOfLoss is the number of load reports to one peer that repeat a lost run,
+	// since reports can be lost with a link.
+	reportsOfLoss = 5
+	// maxReportedLosses bounds the lost runs in one load report.
+	maxReportedLosses = 256
 )
 
 // sendDueReports sends the load report to the peers for which it is due. When
@@ -40,7 +46,9 @@
 		}
 	}
 	msg := m.loadReport()
+	msg.Losses = m.losses.LearnedSince(m.now.Add(-reportsOfLoss*reportInterval), maxReportedLosses)
 	m.broadcast(often, msg, reportInterval)
+	msg.Losses = m.losses.LearnedSince(m.now.Add(-reportsOfLoss*m.farReportInterval()), maxReportedLosses)
 	m.broadcast(rarely, msg, m.farReportInterval())
 }
 
@@ -56,7 +64,9 @@
 func (m *Machine) sendReport(p *peer) {
 	p.promisedInterval = m.reportIntervalTo(p)
 	p.nextReportAt = m.now.Add(p.promisedInterval)
-	m.broadcast([]identifier.Member{p.member}, m.loadReport(), p.promisedInterval)
+	msg := m.loadReport()
+	msg.Losses = m.losses.LearnedSince(time.Time{}, maxReportedLosses)
+	m.broadcast([]identifier.Member{p.member}, msg, p.promisedInterval)
 }
 
 func (m *Machine) loadReport() peermessenger.LoadReport {
@@ -67,6 +77,7 @@
 		Weight:          m.opts.Weight,
 		Queued:          m.queuedWork(),
 		ServersRevision: m.serversRevision,
+		Isolating:       m.isolating(),
 	}
 	if m.routes != nil {
 		r.RoutesVersion = uint64(m.routes.Version)
@@ -88,6 +99,9 @@
 // queuedWork returns the work of the queue by priority.
 func (m *Machine) queuedWork() (w peermessenger.QueuedWork) {
 	for _, q := range m.queue {
+		if q.msg.Alone {
+			continue // other tasks don't wait for it
+		}
 		w[min(max(q.msg.Priority, 0), len(w)-1)] += taskWork(q.msg.Millicores, q.msg.Estimate)
 	}
 	return w
