fix(repeater): start nothing over a capacity that an unguarded server has reported

Users of servers that start whatever they are told to could have had a server filled beyond its capacity: after it had shrunk while its owner was cut off from the store, after it came back as a smaller process under the same id, and beside a run that no home had claimed, which counted as the capacity that the server had when the run was found.

Cause: the owner trusts its own list of servers for as long as it has no newer one.

Change: the store's confirmations of the list are kept, and their age stands in load reports. A run of unknown demand leaves no room.

TestUnclaimedRunLeavesNoRoom, TestUnguardedPools.

--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -89,6 +89,10 @@
 	s.post(repeater.ServersChanged{Revision: revision, Servers: servers})
 }
 
+// ConfirmServers reports that the store had no later list of backend servers at asOf than
+// those set before.
+func (s *Server) ConfirmServers(asOf time.Time) { s.post(repeater.ServersConfirmed{AsOf: asOf}) }
+
 // SetListedVMs tells the state machine which VMs the store lists, and where they accept
 // links.
 func (s *Server) SetListedVMs(vms []repeater.ListedVM, addresses map[identifier.VMID]string) {
--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -125,6 +125,8 @@
 
 	Next time.Duration `cbor:"8,keyasint"` // longest time until the next report
 
+	ServersAge time.Duration `cbor:"11,keyasint,omitempty"` // since the store confirmed the sender's list of backend servers; 0: it has not
+
 	Losses    []LostRun `cbor:"9,keyasint,omitempty"`  // that the sender has learned of lately
 	Isolating int       `cbor:"10,keyasint,omitempty"` // tasks that run alone on the sender's servers or wait for that
 }
--- /dev/null
+++ b/internal/repeater/capacity_test.go
@@ -0,0 +1,59 @@
+package repeater
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/peermessenger"
+)
+
+// TestNoStartOverReportedCapacity guards against starts beyond a capacity that a server has
+// reported, on servers that start whatever they are told to: while capacities shrink and
+// grow, servers restart with others, and VMs are cut off from the store, killed and paused.
+func TestNoStartOverReportedCapacity(t *testing.T) {
+	const length = 16 * time.Second
+	completed, jobs := 0, 0
+	for seed := *firstHistory; seed < *firstHistory+*histories/2; seed++ {
+		sim := newSimulation(seed, simConfig{
+			vms: 3 + int(seed%4), servers: 10, jobs: 80, lateCalls: 0.01 * float64(seed%3), lostAnswers: 0.01 * float64(seed%2),
+			faults: int(seed % 6), unguarded: true,
+		})
+		sim.verbose = *verbose
+		for range 40 {
+			sim.schedule(sim.randomDuration(time.Second, length), sim.injectCapacityChange)
+		}
+		for range int(seed % 5) {
+			sim.schedule(sim.randomDuration(time.Second, length), sim.injectStoreCut)
+		}
+		sim.submitJobs(length)
+		sim.scheduleFaults(length)
+		sim.run(length + 6*time.Second)
+		if len(sim.violations) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(sim.violations, "\n"), strings.Join(sim.trace, "\n"))
+		}
+		for _, j := range sim.jobs {
+			jobs++
+			if j.outcome == "completed" {
+				completed++
+			}
+		}
+	}
+	t.Logf("%d of %d jobs completed", completed, jobs)
+	if completed*2 < jobs {
+		t.Errorf("%d of %d jobs completed", completed, jobs)
+	}
+}
+
+// TestUnclaimedRunLeavesNoRoom guards against a run of unknown demand that counts as the
+// capacity which its server had when the run was found.
+func TestUnclaimedRunLeavesNoRoom(t *testing.T) {
+	o := &ownedServer{Server: Server{Cores: 8000}, runs: make(map[identifier.RunRef]*run)}
+	m := New(time.Unix(100, 0), Options{})
+	m.addRun(o, &run{state: runFound, msg: peermessenger.RunTask{Millicores: o.Cores}})
+	o.Cores = 16000
+	if free, _ := o.free(); free != 0 {
+		t.Errorf("%d millicores are free", free)
+	}
+}
--- a/internal/repeater/event.go
+++ b/internal/repeater/event.go
@@ -65,6 +65,10 @@
 	Servers  []Server
 }
 
+// ServersConfirmed reports that the store had no later list of backend servers at AsOf
+// than those delivered before this event.
+type ServersConfirmed struct{ AsOf time.Time }
+
 // VMsListed delivers the VMs that the store lists, this one included.
 type VMsListed struct{ VMs []ListedVM }
 
@@ -116,6 +120,7 @@
 func (RoutesChanged) isEvent()      {}
 func (RoutesConfirmed) isEvent()    {}
 func (ServersChanged) isEvent()     {}
+func (ServersConfirmed) isEvent()   {}
 func (VMsListed) isEvent()          {}
 func (StartAnswered) isEvent()      {}
 func (StopAnswered) isEvent()       {}
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -22,6 +22,7 @@
 	routesAsOf      time.Time // the store had no later routes then; zero: known from peers alone
 	servers         map[identifier.BackendID]Server
 	serversRevision uint64
+	serversAsOf     time.Time                  // the store had no later list of servers then; zero: it has confirmed none
 	serverIDs       []identifier.BackendID     // sorted
 	serverDomains   []identifier.FailureDomain // of the servers, sorted
 
@@ -137,6 +138,8 @@
 		m.confirmRoutes(e.AsOf)
 	case ServersChanged:
 		m.changeServers(e)
+	case ServersConfirmed:
+		m.serversAsOf = later(m.serversAsOf, e.AsOf)
 	case VMsListed:
 		m.changeListedVMs(e.VMs)
 	case StartAnswered:
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -130,10 +130,13 @@
 }
 
 // free returns the capacity that no run occupies. A run counts until the server
-// lists its end.
+// lists its end, and one whose demand is unknown leaves nothing.
 func (o *ownedServer) free() (identifier.Millicores, identifier.Mebibytes) {
 	cores, memory := o.Cores, o.Memory
 	for _, r := range o.runs {
+		if r.home == (identifier.Member{}) {
+			return 0, 0
+		}
 		cores -= r.msg.Millicores
 		memory -= r.msg.Memory
 	}
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -41,6 +41,7 @@
 	pending         map[identifier.BackendID]identifier.Millicores // sent, and not yet reported as started or ended
 	routesVersion   uint64
 	serversRevision uint64
+	serversAsOf     time.Time // as in Machine
 	copySentAt      time.Time // when it was last sent a copy of the directory
 }
 
@@ -202,6 +203,9 @@
 	p.announcedInterval = r.Next
 	p.queued, p.unplacedWork, p.routesVersion, p.serversRevision = r.Queued, 0, r.RoutesVersion, r.ServersRevision
 	p.isolating = r.Isolating
+	if r.ServersAge > 0 {
+		p.serversAsOf = m.now.Add(-r.ServersAge)
+	}
 	for _, loss := range r.Losses {
 		m.recordLoss(loss)
 	}
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -42,7 +42,7 @@
 	f := &fleetView{backlog: make(map[identifier.VMID]*backlog)}
 	for _, id := range m.ownedIDs() {
 		o := m.owned[id]
-		if o.Pool != j.Route.Pool || !o.usable(m.now) {
+		if o.Pool != j.Route.Pool || !o.usable(m.now) || !m.knowsCapacity(o) {
 			continue
 		}
 		free, mem := identifier.Millicores(0), identifier.Mebibytes(0)
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -152,7 +152,7 @@
 	servers := make(map[identifier.PoolID][]packer.Server, 1)
 	for _, id := range ids {
 		o := m.owned[id]
-		if !o.canStart(m.now) {
+		if !o.canStart(m.now) || !m.knowsCapacity(o) {
 			continue
 		}
 		free, mem := o.free()
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -79,6 +79,9 @@
 		ServersRevision: m.serversRevision,
 		Isolating:       m.isolating(),
 	}
+	if !m.serversAsOf.IsZero() {
+		r.ServersAge = max(m.now.Sub(m.serversAsOf), 1)
+	}
 	if m.routes != nil {
 		r.RoutesVersion = uint64(m.routes.Version)
 	}
@@ -87,7 +90,7 @@
 		if !o.confirmed {
 			continue // another VM may still own it
 		}
-		load := peermessenger.ServerLoad{Backend: id, Token: o.token, Usable: o.usable(m.now)}
+		load := peermessenger.ServerLoad{Backend: id, Token: o.token, Usable: o.usable(m.now) && m.knowsCapacity(o)}
 		if load.Usable && o.canStart(m.now) {
 			load.Free, load.FreeMemory = o.free()
 		}
--- a/internal/repeater/simroutes_test.go
+++ b/internal/repeater/simroutes_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/router"
 )
 
@@ -46,7 +47,11 @@
 }
 
 func (r *simRoutes) table() *router.Table {
-	return &router.Table{Version: r.version, Routes: []router.Route{simRoute()}}
+	t := &router.Table{Version: r.version, Routes: []router.Route{simRoute()}}
+	if r.sim.cfg.unguarded {
+		t.Unguarded = []identifier.PoolID{simPool}
+	}
+	return t
 }
 
 func (r *simRoutes) randomDuration(least, most time.Duration) time.Duration {
--- a/internal/repeater/simserver_test.go
+++ b/internal/repeater/simserver_test.go
@@ -28,6 +28,8 @@
 	openPolls      []*simPoll
 	stalls         bool
 	slowness       float64 // factor on run times; 0 is the usual one
+
+	earlierCapacities []simCapacity // that its process has reported before Cores
 }
 
 type simRun struct {
@@ -69,6 +71,9 @@
 	s.supersededUpTo = make(map[identifier.TaskRef]identifier.RunNumber)
 	s.ended = nil
 	s.openPolls = nil
+	if s.sim.cfg.unguarded {
+		s.register()
+	}
 }
 
 func (s *simServer) time() ServerTime {
@@ -172,7 +177,7 @@
 		free -= r.cores
 	}
 	s.extendLease(call.Expires)
-	if free < cores {
+	if free < cores && !s.sim.cfg.unguarded {
 		return StartNoRoom
 	}
 	r := &simRun{ref: call.Run, cores: cores, started: s.sim.now, runTime: s.sim.jobOf(call.Run.Task).runTime}
@@ -181,6 +186,9 @@
 	}
 	s.runs[call.Run] = r
 	s.sim.checkStart(s, r)
+	if s.sim.cfg.unguarded {
+		s.checkCapacity()
+	}
 	if s.sim.jobOf(r.ref.Task).crashesServer(r.ref.Task.Index) {
 		s.sim.schedule(simCrashDelay, func() { s.crashUnder(r) })
 	}
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -31,7 +31,10 @@
 	verbose    bool // the trace contains the decisions
 	violations []string
 	crashes    int // of servers
-	lostTwice  int // crashes of servers with a task that crashes none and was lost so before
+
+	serversRevision uint64
+	cutFromStore    map[int]bool // VMs
+	lostTwice       int          // crashes of servers with a task that crashes none and was lost so before
 }
 
 // simConfig sets the size of a simulation and what happens in it.
@@ -50,6 +53,7 @@
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
 
+	unguarded     bool // servers start what they are told to, also beyond their capacity
 	silentCrashes bool // crashed servers are silent instead of refusing connections
 
 	linksHold time.Duration // links hold the messages of a cut up to this time; 0: they lose them
@@ -104,6 +108,9 @@
 		held:  make(map[[2]int]*heldLink),
 
 		dropped: make(map[[2]int]bool),
+
+		serversRevision: 1,
+		cutFromStore:    make(map[int]bool),
 	}
 	sim.routes = newSimRoutes(sim, seed)
 	for i := range cfg.servers {
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -44,8 +44,12 @@
 	vm.keeps = KeepLinks{All: true}
 	vm.routes = simVMRoutes{open: make(map[RequestID]time.Time)}
 	vm.step(RoutesChanged{Table: sim.routes.table()})
-	vm.step(ServersChanged{Revision: 1, Servers: sim.serverList()})
+	vm.step(ServersChanged{Revision: sim.serversRevision, Servers: sim.serverList()})
 	vm.step(VMsListed{VMs: sim.listedVMs()})
+	if sim.cfg.unguarded {
+		vm.step(ServersConfirmed{AsOf: sim.now})
+		vm.confirmServers(vm.process)
+	}
 	vm.tick(vm.process)
 }
 
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -33,6 +33,9 @@
 type Table struct {
 	Version Version
 	Routes  []Route
+	// Unguarded lists the pools whose backend servers start what they are told to, also
+	// beyond their capacity.
+	Unguarded []identifier.PoolID `cbor:",omitempty"`
 	// MaxBody bounds the body of a request; 0 means that the table sets no bound.
 	MaxBody identifier.Bytes
 }
