fix(repeater): move a slow task once, and blame one server for a task that fails anywhere

Callers of a task that takes longer than declared got its result late: it was stopped on up to three servers, and their work was thrown away. Each of these servers counted a failure, as did each on which a hopeless task failed; two failures in a row suspend a server, so that other callers lost it.

Change: a run that makes progress is stopped as lagging only if no earlier run of its task was; later runs of a task that failed, lagged or was lost elsewhere neither count as failures nor enter the server's pace.

--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -312,6 +312,14 @@
 	}
 }
 
+// recordRunFailure counts a failed or lagging run against its server, unless an earlier run
+// of the task has failed or lagged on another one: then the task is the likely cause.
+func (m *Machine) recordRunFailure(o *ownedServer, r *run, cause string) {
+	if len(r.msg.Avoid) == 0 {
+		m.recordServerFailure(o, cause)
+	}
+}
+
 // recordServerFailure counts a failure of a server. failuresToSuspend
 // consecutive ones suspend it.
 func (m *Machine) recordServerFailure(o *ownedServer, cause string) {
--- a/internal/repeater/poll.go
+++ b/internal/repeater/poll.go
@@ -234,7 +234,7 @@
 		m.recordCompletedRun(o, r)
 		m.endRun(o, r, peermessenger.RunDone, "")
 	case EndFailed:
-		m.recordServerFailure(o, "its run failed")
+		m.recordRunFailure(o, r, "its run failed")
 		m.endRun(o, r, peermessenger.RunFailed, "")
 	case EndStopped, EndLapsed, EndOther:
 		cause := r.stopCause
--- a/internal/repeater/progress.go
+++ b/internal/repeater/progress.go
@@ -13,8 +13,11 @@
 	// for tasks that are short compared with a stop and a start.
 	remainingSlack = 200 * time.Millisecond
 	// maxStoppedRuns is the number of earlier runs of a task, stopped or lost, from
-	// which a lagging run is left alone.
+	// which a run without progress is left alone.
 	maxStoppedRuns = 3
+	// maxStoppedSlowRuns is the same for a run that makes progress: if it lags on a second
+	// server, the task is slow and not the server.
+	maxStoppedSlowRuns = 1
 )
 
 // lagging reports whether a run should be stopped and restarted on another
@@ -34,7 +37,11 @@
 
 // stopIfLagging stops a lagging run.
 func (m *Machine) stopIfLagging(o *ownedServer, r *run) {
-	if r.state != runRunning || r.stoppedRuns >= maxStoppedRuns || o.phase != phaseReady {
+	limit := maxStoppedRuns
+	if r.progress > 0 {
+		limit = maxStoppedSlowRuns
+	}
+	if r.state != runRunning || r.stoppedRuns >= limit || o.phase != phaseReady {
 		return
 	}
 	elapsed := m.now.Sub(r.startedAt)
@@ -44,6 +51,6 @@
 	m.counters.Stalled++
 	m.logDecision("runLags", "job", r.ref.Task.Submission, "task", r.ref.Task.Index, "run", r.ref.Number, "backend", o.ID,
 		"elapsed", elapsed, "progress", r.progress, "estimate", r.msg.Estimate)
-	m.recordServerFailure(o, "its run lags")
+	m.recordRunFailure(o, r, "its run lags")
 	m.stopRun(o, r, "it lags")
 }
--- a/internal/repeater/simjob_test.go
+++ b/internal/repeater/simjob_test.go
@@ -19,6 +19,7 @@
 	refusals    int
 	starts      int                           // of its tasks, at servers
 	crashing    map[identifier.TaskIndex]bool // tasks that crash each server that starts them
+	estimate    time.Duration                 // as the caller declares it; 0: about runTime
 	patience    time.Duration                 // how long the caller waits beyond three times the objective
 	crashes     map[identifier.TaskIndex]int  // of servers while they had a run of the task
 	taskStarts  map[identifier.TaskIndex]int  // starts of each task, at servers
@@ -88,9 +89,12 @@
 	vm.lastRequest++
 	a.request = vm.lastRequest
 	vm.requests[a.request] = a
+	estimate := time.Duration(float64(j.runTime) * (0.7 + 0.6*j.sim.rand.Float64()))
+	if j.estimate > 0 {
+		estimate = j.estimate
+	}
 	vm.step(JobSubmitted{Request: a.request, Job: Job{
-		ID: j.id, Route: simRoute(), Version: 1, Spec: "spec", Tasks: j.tasks, Cores: j.cores, Memory: 64,
-		Estimate: time.Duration(float64(j.runTime) * (0.7 + 0.6*j.sim.rand.Float64())), Budget: j.budget(),
+		ID: j.id, Route: simRoute(), Version: 1, Spec: "spec", Tasks: j.tasks, Cores: j.cores, Memory: 64, Estimate: estimate, Budget: j.budget(),
 	}})
 	j.sim.schedule(j.budget()+100*time.Millisecond, func() {
 		if a.ended {
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -28,9 +28,10 @@
 	dropped   map[[2]int]bool // directed links between VMs that were given up
 	trace     []string
 
-	verbose    bool // the trace contains the decisions
-	violations []string
-	crashes    int // of servers
+	verbose     bool // the trace contains the decisions
+	violations  []string
+	crashes     int // of servers
+	suspensions int
 
 	serversRevision uint64
 	cutFromStore    map[int]bool // VMs
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -196,6 +196,9 @@
 			}
 			vm.sim.callPoll(vm, e)
 		case LogDecision:
+			if e.Decision == "serverSuspended" {
+				vm.sim.suspensions++
+			}
 			if vm.sim.verbose {
 				vm.sim.tracef("  vm-%d %s %v", vm.index, e.Decision, e.Fields)
 			}
--- a/internal/repeater/slowdown.go
+++ b/internal/repeater/slowdown.go
@@ -71,9 +71,9 @@
 // recordCompletedRun records a run that a server completed. It clears the
 // server's failures, or suspends the server because it is slow.
 func (m *Machine) recordCompletedRun(o *ownedServer, r *run) {
-	if r.startedAt.IsZero() || r.msg.Estimate <= 0 || !o.lastUnansweredAt.Before(r.startedAt) {
+	if r.startedAt.IsZero() || r.msg.Estimate <= 0 || !o.lastUnansweredAt.Before(r.startedAt) || len(r.msg.Avoid) > 0 {
 		// The run time is unknown: after a call without an answer, ends are seen
-		// late.
+		// late. Or the task has failed or lagged on another server and may be slow itself.
 		o.clearFailures()
 		return
 	}
