fix(quarantiner): count servers lost under one job once for their rack

Callers of the dispatcher's own interface could lose most of a rack to one job: three lost answers within 2 s put the rest of the rack on probation, one task at a time each, although the job's own tasks may have crashed the three servers.

A lost answer was recorded for the server alone; the job under which it was lost was not.

Change: servers that were lost under tasks of one job count as one, also once connecting to them fails. Connections that fail otherwise count each, so that a rack that is really gone is noticed as before.

TestJobThatCrashesServersCostsNoRack fails without the change. The interface itself starts a task at most once, so one submission can't crash one server after another.

--- a/internal/dispatcher/results.go
+++ b/internal/dispatcher/results.go
@@ -113,7 +113,7 @@
 		return
 	}
 	m.limiter.EndTask(now, e.Ref, 0)
-	m.stepQuarantiner(now, quarantiner.BackendUnreachable{Backend: e.Backend})
+	m.stepQuarantiner(now, quarantiner.BackendUnreachable{Backend: e.Backend, Submission: e.Ref.Submission})
 	m.stepPlacer(now, placer.TaskOutcomeUnknown{Backend: e.Backend, Ref: e.Ref})
 	if j == nil {
 		return
--- a/internal/quarantiner/event.go
+++ b/internal/quarantiner/event.go
@@ -30,7 +30,10 @@
 
 // BackendUnreachable reports that connecting to a backend server failed, or that the
 // answer of a task was lost.
-type BackendUnreachable struct{ Backend identifier.BackendID }
+type BackendUnreachable struct {
+	Backend    identifier.BackendID
+	Submission identifier.SubmissionID // whose task's answer was lost; empty: connecting failed
+}
 
 // PeerMessage reports a message from another entry VM.
 type PeerMessage struct {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -73,7 +73,7 @@
 	case TaskFailed:
 		q.handleFailure(now, now.Add(-e.RunTime), e.Backend, e.Submission, true)
 	case BackendUnreachable:
-		q.handleUnreachable(now, e.Backend)
+		q.handleUnreachable(now, e.Backend, e.Submission)
 	case PeerMessage:
 		q.handlePeerMessage(now, e)
 	case Tick:
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -243,3 +243,32 @@
 		}
 	})
 }
+
+// TestJobThatCrashesServersCostsNoRack guards against the healthy servers of a rack being
+// put on probation because the tasks of one job crashed some others of the rack.
+func TestJobThatCrashesServersCostsNoRack(t *testing.T) {
+	racks := map[identifier.BackendID]identifier.RackID{"a": "r", "b": "r", "c": "r", "d": "r", "e": "r", "f": "r"}
+	lost := func(backend identifier.BackendID, job identifier.SubmissionID) Event {
+		return BackendUnreachable{Backend: backend, Submission: job}
+	}
+	for _, test := range []struct {
+		name      string
+		events    []Event
+		probation bool
+	}{
+		{"three servers under one job", []Event{lost("a", "1"), lost("b", "1"), lost("c", "1")}, false},
+		{"and connecting to them fails", []Event{lost("a", "1"), lost("b", "1"), lost("c", "1"), lost("a", ""), lost("b", ""), lost("c", "")}, false},
+		{"under three jobs", []Event{lost("a", "1"), lost("b", "2"), lost("c", "3")}, true},
+		{"connecting to three fails", []Event{lost("a", ""), lost("b", ""), lost("c", "")}, true},
+		{"one job's and two others", []Event{lost("a", "1"), lost("b", "1"), lost("c", ""), lost("d", "")}, true},
+	} {
+		vm := newTestVM(1)
+		vm.step(RacksChanged{Racks: racks})
+		for _, e := range test.events {
+			vm.step(e)
+		}
+		if got := vm.allowance("f") != Unlimited; got != test.probation {
+			t.Errorf("%s: the rest of the rack is on probation: %v", test.name, got)
+		}
+	}
+}
