--- a/internal/repeater/crashes_test.go
+++ b/internal/repeater/crashes_test.go
@@ -70,3 +70,16 @@
 		sim.checkCrashes(t, seed, maxStartsOfTask)
 	}
 }
+
+// TestTaskThatSilencesServersIsGivenUp guards against a task that takes server after server
+// away when these fall silent instead of refusing connections.
+func TestTaskThatSilencesServersIsGivenUp(t *testing.T) {
+	const length = 10 * time.Second
+	for seed := range uint64(10) {
+		sim := newSimulation(seed, simConfig{vms: 3 + int(seed%3), servers: 24, jobs: 150, maxRunTime: 600 * time.Millisecond, silentCrashes: true})
+		sim.submitJobs(length)
+		sim.makeCrashing(0.05, 20*time.Second)
+		sim.run(length + 30*time.Second)
+		sim.checkCrashes(t, seed, maxStartsOfTask)
+	}
+}
