fix(repeater): answer a job at once whose task can't run again in time

The caller may send it again; what is known of the task stays.

TestTaskThatCannotRunAgainInTimeIsAnswered fails without the change.

--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -282,6 +282,10 @@
 		m.finishJob(j, Lost{Cause: "a task has reached the bound of its run numbers"})
 		return
 	}
+	if m.losses.LikelyCause(j.ref(index).Task) && m.now.Add(m.likelyCauseDelay()+j.Estimate).After(j.deadline) {
+		m.finishJob(j, Lost{Cause: "too many servers are down to run a task again that may crash another one"})
+		return
+	}
 	m.sendToBestOwner(j, index)
 }
 
--- a/internal/repeater/isolation.go
+++ b/internal/repeater/isolation.go
@@ -45,11 +45,15 @@
 	return n
 }
 
-// mayRunLikelyCause reports whether another server may be lost under a task that runs
-// alone.
-func (m *Machine) mayRunLikelyCause() bool {
-	m.aloneLosses = slices.DeleteFunc(m.aloneLosses, func(at time.Time) bool { return m.now.Sub(at) > aloneLossTime })
-	return len(m.aloneLosses) < max(len(m.servers)/likelyCauseShare, 1)
+// likelyCauseDelay returns the time until another server may be lost under a task that runs
+// alone, as far as this VM knows.
+func (m *Machine) likelyCauseDelay() time.Duration {
+	m.aloneLosses = slices.DeleteFunc(m.aloneLosses, func(at time.Time) bool { return m.now.Sub(at) >= aloneLossTime })
+	limit := max(len(m.servers)/likelyCauseShare, 1)
+	if len(m.aloneLosses) < limit {
+		return 0
+	}
+	return aloneLossTime - m.now.Sub(m.aloneLosses[len(m.aloneLosses)-limit])
 }
 
 // sharedTasksQueued reports whether tasks that may share a server wait for room.
@@ -74,7 +78,7 @@
 			unlikely = append(unlikely, q)
 		}
 	}
-	if len(likely) > 0 && !m.mayRunLikelyCause() {
+	if len(likely) > 0 && m.likelyCauseDelay() > 0 {
 		likely = nil
 	}
 	if len(likely)+len(unlikely) == 0 {
