refactor(repeater): report a lost run to its home as it is reported to all VMs

The home learned only how a server was lost, and rebuilt the rest; a run that was adopted by a new owner no longer counted as alone. Both could make VMs disagree on whether a task was the last to start on a crashed server, and so on the order of reruns. TaskEnded now carries the LostRun, and an adopted run of a suspected task is alone if nothing else runs there.

--- a/internal/peermessenger/lossmessages.go
+++ b/internal/peermessenger/lossmessages.go
@@ -5,7 +5,7 @@
 // LossCause says how a backend server was lost.
 type LossCause uint8
 
-// The ways in which a server is lost. 0 means that it was not.
+// The ways in which a server is lost.
 const (
 	ServerCrashed LossCause = iota + 1 // its process has ended, or refuses connections
 	ServerSilent                       // it did not answer until the leases of its runs had lapsed
@@ -19,7 +19,7 @@
 	case ServerSilent:
 		return "silent"
 	}
-	return "none"
+	return "unknown"
 }
 
 // LostRun is a run that was lost with its backend server. VMs repeat it to each other in
--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -67,7 +67,7 @@
 	Elapsed time.Duration        `cbor:"4,keyasint"` // of the run
 	Cause   string               `cbor:"5,keyasint"` // for logs
 
-	ServerLoss LossCause `cbor:"6,keyasint,omitempty"` // how its server was lost under the run; 0: it was not
+	Loss *LostRun `cbor:"6,keyasint,omitempty"` // set if the run was lost with its server
 }
 
 // CancelRuns tells an owner that the results of runs are no longer needed.
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -124,7 +124,7 @@
 		t.waitUntil = m.now.Add(retryDelay)
 		return
 	}
-	t.state, t.owner, t.intendedBackend, t.backend, t.sentAt, t.alone = taskSent, to.owner, to.backend, "", m.now, to.alone
+	t.state, t.owner, t.intendedBackend, t.backend, t.sentAt = taskSent, to.owner, to.backend, "", m.now
 	m.markSharing(to.owner)
 	if p := m.peers[to.owner.VM]; p != nil && p.member == to.owner {
 		p.recordSent(j.Job, to)
@@ -213,8 +213,8 @@
 		return // a later owner has taken over the run
 	}
 	m.releasePending(j, t)
-	if msg.ServerLoss != 0 {
-		m.recordLoss(peermessenger.LostRun{Run: msg.Run, Backend: msg.Backend, Cause: msg.ServerLoss, Alone: t.alone})
+	if msg.Loss != nil {
+		m.recordLoss(*msg.Loss)
 		if m.jobs[j.ID] != j {
 			return // the task was given up
 		}
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -36,8 +36,7 @@
 	state           taskState
 	runNumber       identifier.RunNumber // of the latest run
 	failures        int
-	stoppedRuns     int  // earlier runs of the task that were stopped or lost
-	alone           bool // it runs on a server without other tasks
+	stoppedRuns     int // earlier runs of the task that were stopped or lost
 	owner           identifier.Member
 	intendedBackend identifier.BackendID // the server that seemed to have room when the task was sent
 	backend         identifier.BackendID // the server that has started it, or may have; "": none
--- a/internal/repeater/losses.go
+++ b/internal/repeater/losses.go
@@ -15,17 +15,18 @@
 	}
 }
 
-// recordLostRun records that a run was lost with its server. Nothing is recorded of a run
-// that no home has claimed.
-func (m *Machine) recordLostRun(o *ownedServer, r *run, cause peermessenger.LossCause) {
-	if cause == 0 || o.Leaving || r.home == (identifier.Member{}) {
-		return
+// recordLostRun records that a run was lost with its server. ok is false, and nothing is
+// recorded, if the server's shutdown was planned or no home has claimed the run.
+func (m *Machine) recordLostRun(o *ownedServer, r *run, cause peermessenger.LossCause) (lost peermessenger.LostRun, ok bool) {
+	if o.Leaving || r.home == (identifier.Member{}) {
+		return lost, false
 	}
-	newest := true
+	lost = peermessenger.LostRun{Run: r.ref, Backend: o.ID, Cause: cause, Alone: r.msg.Alone, Newest: true}
 	for _, other := range o.runs {
-		newest = newest && !other.knownSince.After(r.knownSince)
+		lost.Newest = lost.Newest && !other.knownSince.After(r.knownSince)
 	}
-	m.recordLoss(peermessenger.LostRun{Run: r.ref, Backend: o.ID, Cause: cause, Alone: r.msg.Alone, Newest: newest})
+	m.recordLoss(lost)
+	return lost, true
 }
 
 // lossCause returns how a server is lost that has not answered until its lease lapsed.
@@ -36,13 +37,13 @@
 	return peermessenger.ServerCrashed
 }
 
-// recordLoss records a run that was lost with its server, whoever has seen it, and reports
-// whether that is new. It ends the run's job if its home is here and the task is given up.
-func (m *Machine) recordLoss(loss peermessenger.LostRun) bool {
+// recordLoss records a run that was lost with its server, whichever VM has seen it. It ends
+// the run's job if its home is here and the task is given up.
+func (m *Machine) recordLoss(loss peermessenger.LostRun) {
 	task := loss.Run.Task
 	before := m.losses.Verdict(task)
 	if !m.losses.Record(m.now, loss) {
-		return false
+		return
 	}
 	m.reportChanged = true
 	if loss.Alone {
@@ -57,7 +58,6 @@
 			m.finishJob(j, Failed{Cause: causeGivenUp})
 		}
 	}
-	return true
 }
 
 // causeGivenUp is the cause of a failed job with a task that was given up.
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -100,8 +100,8 @@
 // the server.
 func (r *run) startUnanswered() bool { return !r.unansweredAt.IsZero() }
 
-// mayHaveStarted reports whether a call for the run has reached the server, as far as is
-// known.
+// mayHaveStarted reports whether the server may have the run. While its start is open, the
+// answer will show that.
 func (r *run) mayHaveStarted() bool { return r.state != runStarting }
 
 // usable reports whether the server accepts work, now or when current runs end.
--- a/internal/repeater/owner.go
+++ b/internal/repeater/owner.go
@@ -177,11 +177,11 @@
 
 // endLostRun removes a run that was lost with its server, and tells its home.
 func (m *Machine) endLostRun(o *ownedServer, r *run, loss peermessenger.LossCause, cause string) {
-	if o.Leaving {
-		loss = 0 // its shutdown is planned
+	msg := peermessenger.TaskEnded{Run: r.ref, Backend: o.ID, Ending: peermessenger.RunStopped, Cause: cause}
+	if lost, ok := m.recordLostRun(o, r, loss); ok {
+		msg.Loss = &lost
 	}
-	m.recordLostRun(o, r, loss)
-	m.reportEnd(o, r, peermessenger.TaskEnded{Run: r.ref, Backend: o.ID, Ending: peermessenger.RunStopped, Cause: cause, ServerLoss: loss})
+	m.reportEnd(o, r, msg)
 }
 
 func (m *Machine) reportEnd(o *ownedServer, r *run, msg peermessenger.TaskEnded) {
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/peppertrack/peppertrack/internal/crashcounter"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
@@ -473,6 +474,7 @@
 		r.state = runRunning
 		r.msg = peermessenger.RunTask{
 			Run: c.Run, Pool: o.Pool, Millicores: c.Millicores, Memory: c.Memory, Estimate: c.Estimate, Priority: c.Priority,
+			Alone: len(o.runs) == 1 && m.losses.Verdict(c.Run.Task) != crashcounter.RunShared,
 		}
 		m.reportChanged = true
 	}
