--- a/internal/repeater/capacity.go
+++ b/internal/repeater/capacity.go
@@ -23,16 +23,8 @@
 }
 
 // serverListOutdated reports whether the store has confirmed this VM's list of servers too
-// long ago, and a peer's since.
+// long ago, and another VM's since, even if that VM is lost by now.
 func (m *Machine) serverListOutdated() bool {
 	asOf := later(m.serversAsOf, m.started)
-	if m.now.Sub(asOf) <= serverListTrust {
-		return false
-	}
-	for _, p := range m.peers {
-		if m.alive(p) && p.serversAsOf.Sub(asOf) > serverListTrust/2 {
-			return true
-		}
-	}
-	return false
+	return m.now.Sub(asOf) > serverListTrust && m.peersServersAsOf.Sub(asOf) > serverListTrust/2
 }
--- a/internal/repeater/capacity_test.go
+++ b/internal/repeater/capacity_test.go
@@ -9,27 +9,34 @@
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
 
+// simulateCapacities plays a history of servers that start whatever they are told to, while
+// capacities shrink and grow, servers restart with others, and VMs are cut off from the
+// store, killed and paused.
+func simulateCapacities(seed uint64) *simulation {
+	const length = 16 * time.Second
+	sim := newSimulation(seed, simConfig{
+		vms: 3 + int(seed%4), servers: 10, jobs: 80, lateCalls: 0.01 * float64(seed%3), lostAnswers: 0.01 * float64(seed%2),
+		faults: int(seed % 6), unguarded: true,
+	})
+	sim.verbose = *verbose
+	for range 40 {
+		sim.schedule(sim.randomDuration(time.Second, length), sim.injectCapacityChange)
+	}
+	for range int(seed % 5) {
+		sim.schedule(sim.randomDuration(time.Second, length), sim.injectStoreCut)
+	}
+	sim.submitJobs(length)
+	sim.scheduleFaults(length)
+	sim.run(length + 6*time.Second)
+	return sim
+}
+
 // TestNoStartOverReportedCapacity guards against starts beyond a capacity that a server has
-// reported, on servers that start whatever they are told to: while capacities shrink and
-// grow, servers restart with others, and VMs are cut off from the store, killed and paused.
+// reported.
 func TestNoStartOverReportedCapacity(t *testing.T) {
-	const length = 16 * time.Second
 	completed, jobs := 0, 0
 	for seed := *firstHistory; seed < *firstHistory+*histories/2; seed++ {
-		sim := newSimulation(seed, simConfig{
-			vms: 3 + int(seed%4), servers: 10, jobs: 80, lateCalls: 0.01 * float64(seed%3), lostAnswers: 0.01 * float64(seed%2),
-			faults: int(seed % 6), unguarded: true,
-		})
-		sim.verbose = *verbose
-		for range 40 {
-			sim.schedule(sim.randomDuration(time.Second, length), sim.injectCapacityChange)
-		}
-		for range int(seed % 5) {
-			sim.schedule(sim.randomDuration(time.Second, length), sim.injectStoreCut)
-		}
-		sim.submitJobs(length)
-		sim.scheduleFaults(length)
-		sim.run(length + 6*time.Second)
+		sim := simulateCapacities(seed)
 		if len(sim.violations) > 0 {
 			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(sim.violations, "\n"), strings.Join(sim.trace, "\n"))
 		}
@@ -46,6 +53,24 @@
 	}
 }
 
+// TestNoStartOverCapacityThatNoVMCanRead guards against starts beyond a capacity that was
+// reported while all VMs were cut off from the store.
+func TestNoStartOverCapacityThatNoVMCanRead(t *testing.T) {
+	const allCutOff = 5184 // the seed of such a history
+	if sim := simulateCapacities(allCutOff); len(sim.violations) > 0 {
+		t.Error(strings.Join(sim.violations, "\n"))
+	}
+}
+
+// TestNoStartOverCapacityByTwoOwners guards against starts by two VMs that both own a server
+// which has restarted, and forgotten the higher token, while they can't hear each other.
+func TestNoStartOverCapacityByTwoOwners(t *testing.T) {
+	const twoOwners = 5650 // the seed of such a history
+	if sim := simulateCapacities(twoOwners); len(sim.violations) > 0 {
+		t.Error(strings.Join(sim.violations, "\n"))
+	}
+}
+
 // TestUnclaimedRunLeavesNoRoom guards against a run of unknown demand that counts as the
 // capacity which its server had when the run was found.
 func TestUnclaimedRunLeavesNoRoom(t *testing.T) {
--- a/internal/repeater/crashes_test.go
+++ b/internal/repeater/crashes_test.go
@@ -38,7 +38,7 @@
 // server until its caller gives up.
 func TestTaskThatCrashesServersIsGivenUp(t *testing.T) {
 	const length = 10 * time.Second
-	for seed := range uint64(20) {
+	for seed := *firstHistory; seed < *firstHistory+*histories/5; seed++ {
 		sim := newSimulation(seed, simConfig{vms: 3 + int(seed%3), servers: 24, jobs: 150, maxRunTime: 600 * time.Millisecond})
 		sim.submitJobs(length)
 		sim.makeCrashing(0.05, 12*time.Second)
@@ -59,7 +59,7 @@
 // its home or owner is lost and its caller submits the job to another VM.
 func TestCrashesOfTaskOutliveItsVM(t *testing.T) {
 	const length = 10 * time.Second
-	for seed := range uint64(30) {
+	for seed := *firstHistory; seed < *firstHistory+*histories*3/10; seed++ {
 		sim := newSimulation(seed, simConfig{vms: 5, servers: 24, jobs: 120, maxRunTime: 600 * time.Millisecond, neighborhood: 3 * int(seed%2)})
 		sim.submitJobs(length)
 		sim.makeCrashing(0.05, 12*time.Second)
@@ -75,7 +75,7 @@
 // away when these fall silent instead of refusing connections.
 func TestTaskThatSilencesServersIsGivenUp(t *testing.T) {
 	const length = 10 * time.Second
-	for seed := range uint64(10) {
+	for seed := *firstHistory; seed < *firstHistory+*histories/10; seed++ {
 		sim := newSimulation(seed, simConfig{vms: 3 + int(seed%3), servers: 24, jobs: 150, maxRunTime: 600 * time.Millisecond, silentCrashes: true})
 		sim.submitJobs(length)
 		sim.makeCrashing(0.05, 20*time.Second)
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -17,14 +17,15 @@
 	started time.Time
 	effects []Effect
 
-	routes          *router.Table
-	routesChangedAt time.Time
-	routesAsOf      time.Time // the store had no later routes then; zero: known from peers alone
-	servers         map[identifier.BackendID]Server
-	serversRevision uint64
-	serversAsOf     time.Time                  // the store had no later list of servers then; zero: it has confirmed none
-	serverIDs       []identifier.BackendID     // sorted
-	serverDomains   []identifier.FailureDomain // of the servers, sorted
+	routes           *router.Table
+	routesChangedAt  time.Time
+	routesAsOf       time.Time // the store had no later routes then; zero: known from peers alone
+	servers          map[identifier.BackendID]Server
+	serversRevision  uint64
+	serversAsOf      time.Time                  // the store had no later list of servers then; zero: it has confirmed none
+	peersServersAsOf time.Time                  // the same for the peer whose list the store confirmed last
+	serverIDs        []identifier.BackendID     // sorted
+	serverDomains    []identifier.FailureDomain // of the servers, sorted
 
 	peers         map[identifier.VMID]*peer
 	peersInOrder  []*peer                      // sorted; nil when peers has changed
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -41,7 +41,6 @@
 	pending         map[identifier.BackendID]identifier.Millicores // sent, and not yet reported as started or ended
 	routesVersion   uint64
 	serversRevision uint64
-	serversAsOf     time.Time // as in Machine
 	copySentAt      time.Time // when it was last sent a copy of the directory
 }
 
@@ -204,7 +203,7 @@
 	p.queued, p.unplacedWork, p.routesVersion, p.serversRevision = r.Queued, 0, r.RoutesVersion, r.ServersRevision
 	p.isolating = r.Isolating
 	if r.ServersAge > 0 {
-		p.serversAsOf = m.now.Add(-r.ServersAge)
+		m.peersServersAsOf = later(m.peersServersAsOf, m.now.Add(-r.ServersAge))
 	}
 	for _, loss := range r.Losses {
 		m.recordLoss(loss)
