test(repeater): leave the polls of a crashed server unanswered

TestTaskThatSilencesServersIsGivenUp passed also without the bounds on losses by silence: an open poll of the crashed server was answered at the end of its wait, by a process that was down, and showed the crash. Nobody answers these polls now.

--- a/internal/repeater/simcrash_test.go
+++ b/internal/repeater/simcrash_test.go
@@ -33,12 +33,13 @@
 	polls := s.openPolls
 	s.down, s.refuses = true, !s.sim.cfg.silentCrashes
 	s.restart()
-	if s.refuses {
-		for _, p := range polls {
-			if !p.answered {
-				p.answered = true
-				p.reset()
-			}
+	for _, p := range polls {
+		if p.answered {
+			continue
+		}
+		p.answered = true // by nobody: the process is gone
+		if s.refuses {
+			p.reset()
 		}
 	}
 	s.sim.schedule(d, func() {
