fix(repeater): report readiness once the servers' load is known

Cause: a VM was ready as soon as one server was usable. Callers who came before it had taken its other servers over, or heard its peers' loads, were refused for lack of room that was there (TestShutdownLosesNoJob, listed in KNOWN-RED.txt).

Change: a VM is ready once it knows an owner that serves each server of its neighborhood, or that the server doesn't answer; at the latest 2 s after its start.

--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -77,6 +77,7 @@
 	reportedAt       time.Time
 	reportChanged    bool
 	serverUsable     bool // at the latest tick, so that the servers of one takeover count together
+	settled          bool // the load of the neighborhood's servers is known since the start
 	draining         bool
 	drained          bool
 	counters         Counters
@@ -173,7 +174,7 @@
 	if _, refused := m.refusalAfterPause(); refused || m.draining || m.routes == nil {
 		return false
 	}
-	return m.serverUsable
+	return m.serverUsable && m.settled
 }
 
 // anyServerUsable reports whether a job can run at this VM or a peer.
@@ -191,6 +192,37 @@
 	return false
 }
 
+// knowsLoad reports whether this VM knows an owner that serves each server of its
+// neighborhood, or that the server doesn't answer. Until then it would refuse jobs for
+// which there is room.
+func (m *Machine) knowsLoad() bool {
+	if len(m.assignedIDs) == 0 || !m.knowsOwners() {
+		return false
+	}
+	for _, id := range m.assignedIDs {
+		if o := m.owned[id]; o != nil {
+			if o.phase < phaseReady && o.unansweredCalls == 0 && !o.Leaving {
+				return false
+			}
+			continue
+		}
+		if _, known := m.viewOf(id); !known && !m.servers[id].Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// viewOf returns the load of a server as the live peer that owns it reports it.
+func (m *Machine) viewOf(id identifier.BackendID) (serverView, bool) {
+	p := m.peers[m.owners[id].owner.VM]
+	if p == nil || !m.alive(p) {
+		return serverView{}, false
+	}
+	v, ok := p.view[id]
+	return v, ok
+}
+
 func (m *Machine) tick() {
 	m.updateSharing()
 	m.dropSilentPeers()
@@ -201,6 +233,7 @@
 	m.tickRoutes()
 	m.tickJobs()
 	m.serverUsable = m.anyServerUsable()
+	m.settled = m.settled || m.now.Sub(m.started) >= settleTime || m.knowsLoad()
 	for ref, e := range m.ended {
 		if m.now.Sub(e.at) > endedRetention {
 			delete(m.ended, ref)
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -101,6 +101,10 @@
 	// startupGrace is how long a new VM listens to its peers before it takes over
 	// servers that seem to have no owner.
 	startupGrace = 800 * time.Millisecond
+	// settleTime is how long a new VM may report that it isn't ready because it doesn't know
+	// the load of its neighborhood's servers: two checks of the balancer. Some servers or
+	// VMs may be away for longer.
+	settleTime = 2 * time.Second
 	// minorityTakeoverDelay is how long a VM that has lost the majority of its
 	// peers waits before it takes over a server of a lost peer.
 	minorityTakeoverDelay = 2 * time.Second
