feat(repeater): evacuate failure domains

Change: the list of evacuated domains comes with the watch of the manifest, and to peers with load reports. Homes look for no server there, owners start nothing there and return what is queued; runs end in peace. A job whose servers are all evacuated is refused at once. Servers that are slow after their start get a part of their capacity. Removed items of the operator are gone at once after an outage of the store, unlike lapsed entries of servers.

Tested on the paused clock: 250 histories with restarts, cuts, pauses, late calls and domains taken back and evacuated again; two defects that the same histories catch; no admitted job lost; queued tasks move within 100 ms; a VM without the store learns both ways. platform: the same through a fake store.

--- a/internal/jobserver/server.go
+++ b/internal/jobserver/server.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/peppertrack/peppertrack/internal/evacuator"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peerlinker"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
@@ -93,6 +94,9 @@
 // those set before.
 func (s *Server) ConfirmServers(asOf time.Time) { s.post(repeater.ServersConfirmed{AsOf: asOf}) }
 
+// SetEvacuations puts the list of evacuated failure domains in force unless a later one is.
+func (s *Server) SetEvacuations(l evacuator.List) { s.post(repeater.EvacuationsChanged{List: l}) }
+
 // SetListedVMs tells the state machine which VMs the store lists, and where they accept
 // links.
 func (s *Server) SetListedVMs(vms []repeater.ListedVM, addresses map[identifier.VMID]string) {
--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -127,6 +127,9 @@
 
 	ServersAge time.Duration `cbor:"11,keyasint,omitempty"` // since the store confirmed the sender's list of backend servers; 0: it has not
 
+	EvacuationsRevision uint64                     `cbor:"12,keyasint,omitempty"` // of Evacuated; 0: the sender knows of no evacuation
+	Evacuated           []identifier.FailureDomain `cbor:"13,keyasint,omitempty"` // failure domains whose servers get no new tasks
+
 	Losses    []LostRun `cbor:"9,keyasint,omitempty"`  // that the sender has learned of lately
 	Isolating int       `cbor:"10,keyasint,omitempty"` // tasks that run alone on the sender's servers or wait for that
 }
--- a/internal/repeater/capacity_test.go
+++ b/internal/repeater/capacity_test.go
@@ -78,7 +78,7 @@
 	m := New(time.Unix(100, 0), Options{})
 	m.addRun(o, &run{state: runFound, msg: peermessenger.RunTask{Millicores: o.Cores}})
 	o.Cores = 16000
-	if free, _ := o.free(); free != 0 {
+	if free, _ := o.free(time.Unix(100, 0)); free != 0 {
 		t.Errorf("%d millicores are free", free)
 	}
 }
--- a/internal/repeater/counters.go
+++ b/internal/repeater/counters.go
@@ -24,6 +24,10 @@
 	Stalled        uint64 `json:"stalled"` // lagging runs that were stopped
 	Pauses         uint64 `json:"pauses"`  // of this VM
 	RoutesVersion  uint64 `json:"routesVersion"`
+	Evacuations    uint64 `json:"evacuations"` // of failure domains, learned of
+	TasksMoved     uint64 `json:"tasksMoved"`  // returned to their homes because of evacuations
+	Evacuated      int    `json:"evacuatedDomains"`
+	ColdServers    int    `json:"coldServers"` // own ones that are slow after their start
 	Queue          int    `json:"queue"`
 	OpenJobs       int    `json:"openJobs"`
 	Owned          int    `json:"ownedServers"`
@@ -36,6 +40,12 @@
 	if m.routes != nil {
 		c.RoutesVersion = uint64(m.routes.Version)
 	}
+	c.Evacuated = len(m.evacuations.Domains())
+	for _, o := range m.owned {
+		if o.coldLeft(m.now) > 0 {
+			c.ColdServers++
+		}
+	}
 	c.Queue = len(m.queue)
 	c.OpenJobs = len(m.jobs)
 	c.Owned = len(m.owned)
--- a/internal/repeater/directory.go
+++ b/internal/repeater/directory.go
@@ -55,10 +55,13 @@
 		domains[s.Domain] = true
 	}
 	m.serverDomains = slices.Sorted(maps.Keys(domains))
+	m.updateEvacuatedPools()
 	for id, o := range m.owned {
 		if s, ok := next[id]; ok {
 			o.Server = s
 			o.listed = true
+			m.markEvacuated(o)
+			o.trackWarmup(m.now)
 			continue
 		}
 		o.listed = false
--- a/internal/repeater/event.go
+++ b/internal/repeater/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/peppertrack/peppertrack/internal/evacuator"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 	"github.com/peppertrack/peppertrack/internal/router"
@@ -69,6 +70,10 @@
 // than those delivered before this event.
 type ServersConfirmed struct{ AsOf time.Time }
 
+// EvacuationsChanged delivers the failure domains that the store lists as evacuated. One of
+// a revision before the list in force is ignored.
+type EvacuationsChanged struct{ List evacuator.List }
+
 // VMsListed delivers the VMs that the store lists, this one included.
 type VMsListed struct{ VMs []ListedVM }
 
@@ -121,6 +126,7 @@
 func (RoutesConfirmed) isEvent()    {}
 func (ServersChanged) isEvent()     {}
 func (ServersConfirmed) isEvent()   {}
+func (EvacuationsChanged) isEvent() {}
 func (VMsListed) isEvent()          {}
 func (StartAnswered) isEvent()      {}
 func (StopAnswered) isEvent()       {}
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -64,6 +64,8 @@
 		return r, true
 	}
 	switch {
+	case m.evacuatedPools[j.Route.Pool]:
+		return Refused{Overloaded: true, RetryAfter: evacuatedRetryAfter, Reason: "the failure domains of all its servers are evacuated"}, true
 	case len(m.jobs) >= maxOpenJobs:
 		return Refused{Overloaded: true, RetryAfter: time.Second, Reason: "too many open jobs"}, true
 	case j.Tasks < 1 || j.Tasks > maxTasksPerJob:
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/crashcounter"
+	"github.com/peppertrack/peppertrack/internal/evacuator"
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 	"github.com/peppertrack/peppertrack/internal/router"
@@ -27,6 +28,9 @@
 	serverIDs        []identifier.BackendID     // sorted
 	serverDomains    []identifier.FailureDomain // of the servers, sorted
 
+	evacuations    evacuator.State
+	evacuatedPools map[identifier.PoolID]bool // whose servers are all evacuated
+
 	peers         map[identifier.VMID]*peer
 	peersInOrder  []*peer                      // sorted; nil when peers has changed
 	neighborCount int                          // other VMs in the neighborhood
@@ -142,6 +146,8 @@
 		m.changeServers(e)
 	case ServersConfirmed:
 		m.serversAsOf = later(m.serversAsOf, e.AsOf)
+	case EvacuationsChanged:
+		m.changeEvacuations(e.List, evacuator.FromStore)
 	case VMsListed:
 		m.changeListedVMs(e.VMs)
 	case StartAnswered:
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -44,6 +44,9 @@
 	keepRunsAfterPause  bool // an owner that was paused continues the runs of other homes
 	acceptStaleRequests bool // requests that waited through a pause are accepted
 	trustOldRoutes      bool // requests are decided after a pause by routes that the store has not confirmed
+	startEvacuated      bool // tasks are started on evacuated servers
+
+	ignorePeersEvacuations bool // evacuations are learned from the store alone
 }
 
 // Bounds are the time limits that backend servers and callers guarantee.
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -32,6 +32,9 @@
 	pendingClaims []pendingClaim // claims that wait for a poll
 	releaseTo     identifier.Member
 	listed        bool
+	evacuated     bool          // its failure domain is
+	warmup        time.Duration // that its process needs after its start, as far as this VM has seen
+	warmupOf      identifier.Generation
 
 	clock       ServerTime // the server's time at clockAt
 	clockAt     time.Time
@@ -106,7 +109,7 @@
 
 // usable reports whether the server accepts work, now or when current runs end.
 func (o *ownedServer) usable(now time.Time) bool {
-	return o.phase == phaseReady && o.listed && !o.Leaving && o.unansweredCalls == 0 && !now.Before(o.suspendedUntil)
+	return o.phase == phaseReady && o.listed && !o.Leaving && !o.evacuated && o.unansweredCalls == 0 && !now.Before(o.suspendedUntil)
 }
 
 // canStart reports whether a run may be started on the server now, if it has
@@ -131,8 +134,8 @@
 
 // free returns the capacity that no run occupies. A run counts until the server
 // lists its end, and one whose demand is unknown leaves nothing.
-func (o *ownedServer) free() (identifier.Millicores, identifier.Mebibytes) {
-	cores, memory := o.Cores, o.Memory
+func (o *ownedServer) free(now time.Time) (identifier.Millicores, identifier.Mebibytes) {
+	cores, memory := o.warmCores(now), o.Memory
 	for _, r := range o.runs {
 		if r.home == (identifier.Member{}) {
 			return 0, 0
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -42,6 +42,7 @@
 	routesVersion   uint64
 	serversRevision uint64
 	copySentAt      time.Time // when it was last sent a copy of the directory
+	evacuationsTold uint64    // the revision of the list of evacuations that it was last told
 }
 
 // serverView is a server's load as its owner reported it, less what was sent to
@@ -202,6 +203,7 @@
 	p.announcedInterval = r.Next
 	p.queued, p.unplacedWork, p.routesVersion, p.serversRevision = r.Queued, 0, r.RoutesVersion, r.ServersRevision
 	p.isolating = r.Isolating
+	m.learnEvacuations(r)
 	if r.ServersAge > 0 {
 		m.peersServersAsOf = later(m.peersServersAsOf, m.now.Add(-r.ServersAge))
 	}
--- a/internal/repeater/plan.go
+++ b/internal/repeater/plan.go
@@ -47,7 +47,7 @@
 		}
 		free, mem := identifier.Millicores(0), identifier.Mebibytes(0)
 		if o.canStart(m.now) && !m.sharedTasksQueued() {
-			free, mem = o.free()
+			free, mem = o.free(m.now)
 		}
 		f.add(m.opts.Self, o.Server, free, mem, false, false)
 	}
@@ -63,14 +63,14 @@
 // addPeerServers adds the servers of the peers in the neighborhood, or of the
 // contacts beyond it.
 func (m *Machine) addPeerServers(f *fleetView, j *openJob, near bool) {
-	for _, p := range m.sortedPeers() {
+	for _, p := range m.peersFor(j) {
 		if near && !p.near || !near && !p.contact || !m.alive(p) || p.draining {
 			continue
 		}
 		for _, id := range p.viewIDs {
 			v, ok := p.view[id]
 			s, listed := m.servers[id]
-			if !ok || !listed || !v.usable || s.Leaving || s.Pool != j.Route.Pool {
+			if !ok || !listed || !v.usable || s.Leaving || m.evacuations.Evacuated(s.Domain) || s.Pool != j.Route.Pool {
 				continue
 			}
 			f.add(p.member, s, v.free, v.freeMem, s.Domain != m.opts.Domain, true)
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -60,7 +60,12 @@
 		m.sendMessage(home, e.msg)
 		return
 	}
-	if cause := m.queueRefusal(msg); cause != "" {
+	switch cause := m.queueRefusal(msg); cause {
+	case "":
+	case causeEvacuated:
+		m.returnEvacuatedTask(home, msg.Run)
+		return
+	default:
 		m.sendMessage(home, peermessenger.TaskEnded{Run: msg.Run, Ending: peermessenger.RunNotStarted, Cause: cause})
 		return
 	}
@@ -104,12 +109,17 @@
 	if len(m.queue) >= maxQueuedTasks {
 		return "queueFull"
 	}
+	cause := "noServer"
 	for _, o := range m.owned {
-		if o.Pool == msg.Pool && o.Cores >= msg.Millicores && o.phase != phaseReleasing && !o.Leaving {
+		if o.Pool != msg.Pool || o.Cores < msg.Millicores || o.phase == phaseReleasing || o.Leaving {
+			continue
+		}
+		if !o.evacuated {
 			return ""
 		}
+		cause = causeEvacuated
 	}
-	return "noServer"
+	return cause
 }
 
 // startQueuedTasks starts the queued tasks that a server has room for, in queue
@@ -155,7 +165,7 @@
 		if !o.canStart(m.now) || !m.knowsCapacity(o) {
 			continue
 		}
-		free, mem := o.free()
+		free, mem := o.free(m.now)
 		servers[o.Pool] = append(servers[o.Pool], packer.Server{ID: id, Capacity: o.Cores, Free: free, FreeMem: mem, Slowness: 1})
 	}
 	return servers
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -32,6 +32,7 @@
 	}
 	m.reportedAt = m.now
 	m.reportChanged = false
+	evacuations, _ := m.evacuations.Told()
 	var often, rarely []identifier.Member
 	for _, p := range m.sortedPeers() {
 		next := m.reportIntervalTo(p)
@@ -39,10 +40,10 @@
 		case !p.linked:
 		case next == reportInterval:
 			often = append(often, p.member)
-			p.promisedInterval = next
+			p.promisedInterval, p.evacuationsTold = next, evacuations.Revision
 		case !m.now.Before(p.nextReportAt) || p.promisedInterval != next:
 			rarely = append(rarely, p.member)
-			p.promisedInterval, p.nextReportAt = next, m.now.Add(next)
+			p.promisedInterval, p.nextReportAt, p.evacuationsTold = next, m.now.Add(next), evacuations.Revision
 		}
 	}
 	msg := m.loadReport()
@@ -65,6 +66,7 @@
 	p.promisedInterval = m.reportIntervalTo(p)
 	p.nextReportAt = m.now.Add(p.promisedInterval)
 	msg := m.loadReport()
+	p.evacuationsTold = msg.EvacuationsRevision
 	msg.Losses = m.losses.LearnedSince(time.Time{}, maxReportedLosses)
 	m.broadcast([]identifier.Member{p.member}, msg, p.promisedInterval)
 }
@@ -82,6 +84,9 @@
 	if !m.serversAsOf.IsZero() {
 		r.ServersAge = max(m.now.Sub(m.serversAsOf), 1)
 	}
+	if l, ok := m.evacuations.Told(); ok {
+		r.EvacuationsRevision, r.Evacuated = l.Revision, l.Domains
+	}
 	if m.routes != nil {
 		r.RoutesVersion = uint64(m.routes.Version)
 	}
@@ -92,7 +97,7 @@
 		}
 		load := peermessenger.ServerLoad{Backend: id, Token: o.token, Usable: o.usable(m.now) && m.knowsCapacity(o)}
 		if load.Usable && o.canStart(m.now) {
-			load.Free, load.FreeMemory = o.free()
+			load.Free, load.FreeMemory = o.free(m.now)
 		}
 		r.Servers = append(r.Servers, load)
 	}
--- a/internal/repeater/server.go
+++ b/internal/repeater/server.go
@@ -12,4 +12,7 @@
 	Memory     identifier.Mebibytes
 	Leaving    bool // accepts no new work
 	Generation identifier.Generation
+	// ColdUntilMillis is when the server stops being slow after its start, in milliseconds
+	// of Unix time; 0: it is not slow.
+	ColdUntilMillis int64 `cbor:",omitempty"`
 }
--- a/internal/repeater/simdefects_test.go
+++ b/internal/repeater/simdefects_test.go
@@ -12,20 +12,22 @@
 type defect string
 
 const (
-	noDefect            defect = ""
-	skipOrphanWait      defect = "a home reruns orphaned tasks without waiting for their runs to end"
-	extendUnclaimed     defect = "a new owner extends a server's lease while no home has claimed its runs"
-	acceptStaleRequests defect = "requests that waited through a pause are accepted"
-	dropCancels         defect = "a home that gives up a job doesn't stop its runs"
-	replayReports       defect = "a silent peer seems to be alive"
-	keepRunsAfterPause  defect = "an owner that was paused continues the runs of other homes"
-	ignorePause         defect = "a VM doesn't notice that it was paused"
-	routeAheadOfEvents  defect = "a VM routes requests ahead of the events that wait, its pause among them"
-	holdMessages        defect = "links hold messages until a ping fails"
-	trustOldRoutes      defect = "a VM that was paused decides by routes that the store has not confirmed"
-	noFencing           defect = "servers accept calls with a lower token"
-	noExpiry            defect = "starts have no expiry"
-	extendOnFirstPoll   defect = "the first poll of a new owner extends the lease"
+	noDefect               defect = ""
+	skipOrphanWait         defect = "a home reruns orphaned tasks without waiting for their runs to end"
+	extendUnclaimed        defect = "a new owner extends a server's lease while no home has claimed its runs"
+	acceptStaleRequests    defect = "requests that waited through a pause are accepted"
+	dropCancels            defect = "a home that gives up a job doesn't stop its runs"
+	replayReports          defect = "a silent peer seems to be alive"
+	keepRunsAfterPause     defect = "an owner that was paused continues the runs of other homes"
+	ignorePause            defect = "a VM doesn't notice that it was paused"
+	routeAheadOfEvents     defect = "a VM routes requests ahead of the events that wait, its pause among them"
+	holdMessages           defect = "links hold messages until a ping fails"
+	trustOldRoutes         defect = "a VM that was paused decides by routes that the store has not confirmed"
+	ignorePeersEvacuations defect = "a VM hears of evacuations from the store alone"
+	startEvacuated         defect = "a VM starts tasks on evacuated servers"
+	noFencing              defect = "servers accept calls with a lower token"
+	noExpiry               defect = "starts have no expiry"
+	extendOnFirstPoll      defect = "the first poll of a new owner extends the lease"
 )
 
 // TestHistoriesCatch checks that each protection is needed: without it, a
@@ -59,11 +61,13 @@
 // empty for a defect outside the Machine.
 func (d defect) machineDefects() defects {
 	return defects{
-		skipOrphanWait:      d == skipOrphanWait,
-		extendUnclaimed:     d == extendUnclaimed,
-		keepRunsAfterPause:  d == keepRunsAfterPause,
-		acceptStaleRequests: d == acceptStaleRequests,
-		trustOldRoutes:      d == trustOldRoutes,
+		skipOrphanWait:         d == skipOrphanWait,
+		extendUnclaimed:        d == extendUnclaimed,
+		keepRunsAfterPause:     d == keepRunsAfterPause,
+		acceptStaleRequests:    d == acceptStaleRequests,
+		trustOldRoutes:         d == trustOldRoutes,
+		startEvacuated:         d == startEvacuated,
+		ignorePeersEvacuations: d == ignorePeersEvacuations,
 	}
 }
 
--- a/internal/repeater/simfaults_test.go
+++ b/internal/repeater/simfaults_test.go
@@ -50,6 +50,9 @@
 // setCut cuts or restores a directed link. A restored link is established anew.
 func (sim *simulation) setCut(from, to int, cut bool) {
 	sim.cut[[2]int{from, to}] = cut
+	if sim.evacuations != nil {
+		sim.evacuations.troubled[from], sim.evacuations.troubled[to] = sim.now, sim.now
+	}
 	if cut {
 		sim.holdLink([2]int{from, to})
 		return
--- a/internal/repeater/simserver_test.go
+++ b/internal/repeater/simserver_test.go
@@ -288,6 +288,9 @@
 func (sim *simulation) callStart(vm *simVM, call StartRun) {
 	sim.callServer(vm, call.Server, call.Timeout, func(s *simServer) func() {
 		result := s.start(call)
+		if result == StartAccepted && sim.evacuations != nil {
+			sim.evacuations.checkStart(vm, s)
+		}
 		clock := s.clock()
 		return func() { vm.step(StartAnswered{Call: call.Call, Result: result, Clock: clock}) }
 	}, func(refused bool) {
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -34,8 +34,9 @@
 	suspensions int
 
 	serversRevision uint64
-	cutFromStore    map[int]bool // VMs
-	lostTwice       int          // crashes of servers with a task that crashes none and was lost so before
+	evacuations     *simEvacuations // nil: there are none
+	cutFromStore    map[int]bool    // VMs
+	lostTwice       int             // crashes of servers with a task that crashes none and was lost so before
 }
 
 // simConfig sets the size of a simulation and what happens in it.
@@ -54,6 +55,7 @@
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
 
+	evacuations   bool // failure domains may be evacuated
 	unguarded     bool // servers start what they are told to, also beyond their capacity
 	silentCrashes bool // crashed servers are silent instead of refusing connections
 
@@ -114,6 +116,9 @@
 		cutFromStore:    make(map[int]bool),
 	}
 	sim.routes = newSimRoutes(sim, seed)
+	if cfg.evacuations {
+		sim.evacuations = &simEvacuations{sim: sim, since: make(map[identifier.FailureDomain]time.Time), troubled: make(map[int]time.Time)}
+	}
 	for i := range cfg.servers {
 		sim.servers = append(sim.servers, newSimServer(sim, i))
 	}
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -46,6 +46,9 @@
 	vm.step(RoutesChanged{Table: sim.routes.table()})
 	vm.step(ServersChanged{Revision: sim.serversRevision, Servers: sim.serverList()})
 	vm.step(VMsListed{VMs: sim.listedVMs()})
+	if sim.evacuations != nil {
+		sim.evacuations.boot(vm)
+	}
 	if sim.cfg.unguarded {
 		vm.step(ServersConfirmed{AsOf: sim.now})
 		vm.confirmServers(vm.process)
@@ -154,6 +157,9 @@
 		if vm.process != process {
 			return
 		}
+		if vm.sim.evacuations != nil {
+			vm.sim.evacuations.troubled[vm.index] = vm.sim.now
+		}
 		vm.sim.tracef("vm-%d resumes", vm.index)
 		vm.paused = false
 		held := vm.sim.routes.shuffleHeld(vm, vm.heldEvents)
--- a/internal/repeater/takeover.go
+++ b/internal/repeater/takeover.go
@@ -147,11 +147,14 @@
 	}
 	known := m.owners[id]
 	token := m.newToken(known.token, m.takeoverBackoffs[id].tokenBoostMillis)
-	m.addOwned(&ownedServer{Server: s, token: token, listed: true, runs: make(map[identifier.RunRef]*run)})
+	o := &ownedServer{Server: s, token: token, listed: true, runs: make(map[identifier.RunRef]*run)}
+	m.markEvacuated(o)
+	o.trackWarmup(m.now)
+	m.addOwned(o)
 	m.counters.Takeovers++
 	m.reportChanged = true
 	m.logDecision("serverTaken", "backend", id, "cause", cause, "token", token, "earlierOwner", known.owner, "earlierToken", known.token)
-	m.poll(m.owned[id])
+	m.poll(o)
 }
 
 const (
--- a/internal/storefollower/follower.go
+++ b/internal/storefollower/follower.go
@@ -44,7 +44,10 @@
 	MinInterval time.Duration
 	// Wait is how long one watch waits for a change. A connection that has gone
 	// silent is noticed after this time.
-	Wait     time.Duration
+	Wait time.Duration
+	// Durable says that the items don't lapse with their writers: one that the store no
+	// longer has was removed, also after an outage.
+	Durable  bool
 	OnChange func(Snapshot) // called after each change; must not keep the map
 	// OnConfirm is called after each successful call to the store with the time at
 	// which the call began: the store then had no later items. It may be nil.
@@ -274,6 +277,8 @@
 		return
 	}
 	f.failing = false
-	f.graceEnd = time.Now().Add(outageGrace)
+	if !f.opts.Durable {
+		f.graceEnd = time.Now().Add(outageGrace)
+	}
 	_ = f.opts.Logger.Log("level", "info", "msg", "store regained", "prefix", f.opts.Prefix, "revision", f.revision)
 }
--- a/internal/storefollower/follower_test.go
+++ b/internal/storefollower/follower_test.go
@@ -195,6 +195,21 @@
 	})
 }
 
+// TestDurableItemsAreGoneWithTheOutage guards against items that count as lapsed, and are
+// kept, though they were removed during an outage.
+func TestDurableItemsAreGoneWithTheOutage(t *testing.T) {
+	runFollower(t, Options{Durable: true}, func(_ *Follower, s *fakeStore, values func() string) {
+		time.Sleep(100 * time.Millisecond)
+		s.withLock(func() { s.down = true })
+		time.Sleep(5 * time.Second)
+		expectValues(t, values, "a1 b1 c1")
+		s.remove("p/a")
+		s.withLock(func() { s.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		expectValues(t, values, "b1 c1")
+	})
+}
+
 // TestCallsInAnOutage checks that a store that is down is not called in a tight loop.
 func TestCallsInAnOutage(t *testing.T) {
 	withFollower(t, func(s *fakeStore, _ func() string) {
