feat(peppertrack): evacuate a failure domain from the command line

Change: evacuations are part of the book of profiles (operations evacuateDomain and takeBackDomain, GET evacuations); the placer leaves evacuated servers out of its choices and out of the slots that admission counts; a job that only they could hold is refused at once with a time to come back. `peppertrack evacuate` evacuates, takes back, lists and shows a dry run.

--- a/cmd/peppertrack/internal/cmd/rootcmd.go
+++ b/cmd/peppertrack/internal/cmd/rootcmd.go
@@ -29,6 +29,7 @@
 		newCancelCmd(),
 		newProfileCmd(),
 		newApplyCmd(),
+		newEvacuateCmd(),
 		newStatusCmd(),
 		newTokenCmd(),
 		newHandoverCmd(),
--- a/internal/dispatcher/check.go
+++ b/internal/dispatcher/check.go
@@ -92,6 +92,13 @@
 		if !m.placer.Fits(needs) {
 			return &declarer.Refused{Cause: declarer.DoesNotFit, Detail: fmt.Sprintf("no backend server can hold task %d", i)}
 		}
+		if !m.placer.FitsOutsideEvacuations(needs) {
+			return &declarer.Refused{
+				Cause:      declarer.NoCapacity,
+				Detail:     fmt.Sprintf("the failure domains of all backend servers that can hold task %d are evacuated", i),
+				RetryAfter: evacuatedRetryAfter,
+			}
+		}
 		last = needs
 	}
 	return nil
--- a/internal/dispatcher/counters.go
+++ b/internal/dispatcher/counters.go
@@ -23,6 +23,7 @@
 	ActiveJobs       atomic.Int64 // gauge: jobs accepted here that have not ended
 	QueuedTasks      atomic.Int64 // gauge
 	RunningTasks     atomic.Int64 // gauge
+	EvacuatedDomains atomic.Int64 // gauge
 }
 
 // Snapshot returns the counters by name.
@@ -46,5 +47,6 @@
 		"runningJobs":      c.ActiveJobs.Load(),
 		"queuedTasks":      c.QueuedTasks.Load(),
 		"runningTasks":     c.RunningTasks.Load(),
+		"evacuatedDomains": c.EvacuatedDomains.Load(),
 	}
 }
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -71,9 +71,11 @@
 	Leaving bool
 }
 
-// ProfilesAdopted replaces the profiles in force.
+// ProfilesAdopted replaces the profiles in force, and the failure domains whose backend
+// servers get no new tasks.
 type ProfilesAdopted struct {
-	Profiles map[identifier.ProfileName]profileparser.Profile
+	Profiles  map[identifier.ProfileName]profileparser.Profile
+	Evacuated []identifier.FailureDomain
 }
 
 // ProfilesConfirmed reports that the store had no profiles at AsOf that are later than
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -122,6 +122,7 @@
 		m.stepPlacer(now, placer.UsageReported{Backend: e.Backend, Used: e.Used, Leaving: e.Leaving})
 	case ProfilesAdopted:
 		m.profiles = e.Profiles
+		m.setEvacuated(now, e.Evacuated)
 	case ProfilesConfirmed:
 		m.confirmProfiles(e.AsOf)
 	case Resumed:
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -67,4 +67,9 @@
 	// unreachableRetryAfter is the delay after which a caller should retry when the
 	// home of its submission, or something that its job needs, can't be reached.
 	unreachableRetryAfter = time.Second
+
+	// evacuatedRetryAfter is the time after which a refused caller may ask again whose
+	// backend servers are all evacuated: operators take that long at least to move callers
+	// or to take a failure domain back.
+	evacuatedRetryAfter = 5 * time.Second
 )
--- a/internal/operatorserver/client.go
+++ b/internal/operatorserver/client.go
@@ -102,6 +102,12 @@
 	return tokens, err
 }
 
+// Evacuations returns the evacuated failure domains.
+func (c *Client) Evacuations(ctx context.Context) (evacuations []profilekeeper.Evacuation, err error) {
+	err = c.call(ctx, http.MethodGet, "evacuations", nil, &evacuations)
+	return evacuations, err
+}
+
 // Burn returns the service-level burn report of all entry VMs.
 func (c *Client) Burn(ctx context.Context) (report burnreporter.Report, err error) {
 	err = c.call(ctx, http.MethodGet, "burn", nil, &report)
--- a/internal/operatorserver/commands.go
+++ b/internal/operatorserver/commands.go
@@ -27,6 +27,9 @@
 	Retire      *retireOperation       `json:"retire,omitempty"`
 	CreateToken *authenticator.Record  `json:"createToken,omitempty"`
 	RetireToken *authenticator.TokenID `json:"retireToken,omitempty"`
+
+	EvacuateDomain *identifier.FailureDomain `json:"evacuateDomain,omitempty"`
+	TakeBackDomain *identifier.FailureDomain `json:"takeBackDomain,omitempty"`
 }
 
 type createOperation struct {
@@ -103,6 +106,12 @@
 	if o.RetireToken != nil {
 		found = append(found, profilekeeper.RetireToken{ID: *o.RetireToken})
 	}
+	if o.EvacuateDomain != nil {
+		found = append(found, profilekeeper.EvacuateDomain{Domain: *o.EvacuateDomain})
+	}
+	if o.TakeBackDomain != nil {
+		found = append(found, profilekeeper.TakeBackDomain{Domain: *o.TakeBackDomain})
+	}
 	if len(found) != 1 {
 		return nil, &profilekeeper.InvalidRequestError{Field: "operations", Problem: "need exactly one field each"}
 	}
@@ -122,6 +131,10 @@
 		return operation{CreateToken: &o.Record}
 	case profilekeeper.RetireToken:
 		return operation{RetireToken: &o.ID}
+	case profilekeeper.EvacuateDomain:
+		return operation{EvacuateDomain: &o.Domain}
+	case profilekeeper.TakeBackDomain:
+		return operation{TakeBackDomain: &o.Domain}
 	}
 	return operation{}
 }
--- a/internal/operatorserver/queries.go
+++ b/internal/operatorserver/queries.go
@@ -97,6 +97,10 @@
 	return tokens, nil
 }
 
+func (s *server) evacuations(context.Context, string, *http.Request) (any, error) {
+	return notNil(s.opts.Book().Evacuations), nil
+}
+
 func (s *server) status(ctx context.Context, _ string, _ *http.Request) (any, error) {
 	statuses, err := s.opts.Status.Status(ctx)
 	return notNil(statuses), err
--- a/internal/operatorserver/server.go
+++ b/internal/operatorserver/server.go
@@ -80,6 +80,7 @@
 	mux.HandleFunc("GET "+pathPrefix+"profiles/{name}", s.query(s.profile))
 	mux.HandleFunc("GET "+pathPrefix+"history", s.query(s.history))
 	mux.HandleFunc("GET "+pathPrefix+"tokens", s.query(s.tokens))
+	mux.HandleFunc("GET "+pathPrefix+"evacuations", s.query(s.evacuations))
 	mux.HandleFunc("GET "+pathPrefix+"status", s.query(s.status))
 	mux.HandleFunc("GET "+pathPrefix+"burn", s.query(s.burn))
 	mux.HandleFunc("GET "+pathPrefix+"handover", s.query(s.handover))
--- a/internal/placer/backendstate.go
+++ b/internal/placer/backendstate.go
@@ -11,6 +11,7 @@
 type backendState struct {
 	Backend
 	listed           bool                  // whether the platform's list contains it
+	evacuated        bool                  // its failure domain is
 	running          identifier.Slots      // tasks that this VM placed and that have not ended
 	devicesInUse     declarer.Accelerators // accelerators in use by tasks that this VM placed
 	usedByOthers     identifier.Slots      // slots that other VMs use, by the backend server's last usage report
@@ -43,7 +44,7 @@
 // acceptsWork reports whether the backend server accepts new work, whether or not
 // a slot is free.
 func (b *backendState) acceptsWork(now time.Time) bool {
-	if !b.listed || b.Leaving || now.Before(b.leavingUntil) || now.Before(b.blockedUntil) {
+	if !b.listed || b.evacuated || b.Leaving || now.Before(b.leavingUntil) || now.Before(b.blockedUntil) {
 		return false
 	}
 	return b.connections > 0 && (b.allowance == Unlimited || b.running < b.allowance)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -41,8 +41,9 @@
 	byMember       map[identifier.Member]*peer
 	demand         demand
 	params         borrowParams
-	usesReserve    bool                                         // a task was placed under Reserve
-	acceptingSlots identifier.Slots                             // all slots of the backend servers that accept new work
+	usesReserve    bool             // a task was placed under Reserve
+	acceptingSlots identifier.Slots // all slots of the backend servers that accept new work
+	evacuated      []identifier.FailureDomain
 	capacities     []TaskNeeds                                  // the largest tasks that the listed backend servers can hold, one for each distinct size
 	leavingToSend  []identifier.BackendID                       // to announce to the peers of all failure domains
 	leavingToRelay []identifier.BackendID                       // to announce in this failure domain only
@@ -83,6 +84,7 @@
 		}
 		b.Backend = backend
 		b.listed = true
+		b.evacuated = slices.Contains(p.evacuated, backend.Domain)
 	}
 	p.assignOwners(now)
 	for _, id := range p.sortedBackends() {
@@ -90,6 +92,33 @@
 	}
 }
 
+// SetEvacuated replaces the list of failure domains whose backend servers get no new
+// tasks. What runs there ends.
+func (p *Placer) SetEvacuated(now time.Time, domains []identifier.FailureDomain) {
+	p.evacuated = slices.Clone(domains)
+	for _, id := range p.sortedBackends() {
+		b := p.backends[id]
+		if evacuated := slices.Contains(p.evacuated, b.Domain); evacuated != b.evacuated {
+			b.evacuated = evacuated
+			p.reindex(now, b)
+		}
+	}
+}
+
+// FitsOutsideEvacuations reports whether at least one listed backend server outside the
+// evacuated failure domains could hold the task when idle.
+func (p *Placer) FitsOutsideEvacuations(w TaskNeeds) bool {
+	if len(p.evacuated) == 0 {
+		return p.Fits(w)
+	}
+	for _, b := range p.backends {
+		if b.listed && !b.evacuated && b.fits(&w) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetMembers replaces the list of the live entry VMs, which covers all failure
 // domains.
 func (p *Placer) SetMembers(now time.Time, members []DomainMember) {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -69,6 +69,16 @@
 		{name: "reported as leaving", close: func(p *Placer, _ []Backend) {
 			p.Step(epoch, UsageReported{Backend: "b000", Leaving: true})
 		}},
+		{name: "evacuated", close: func(p *Placer, backends []Backend) {
+			backends[0].Domain = "d9"
+			p.SetBackends(epoch, backends)
+			p.SetEvacuated(epoch, []identifier.FailureDomain{"d9"})
+		}},
+		{name: "listed while evacuated", close: func(p *Placer, backends []Backend) {
+			p.SetEvacuated(epoch, []identifier.FailureDomain{"d9"})
+			backends[0].Domain = "d9"
+			p.SetBackends(epoch, backends)
+		}},
 		{name: "in quarantine", close: func(p *Placer, _ []Backend) {
 			p.Step(epoch, AllowanceChanged{Backend: "b000", Tasks: 0})
 		}},
@@ -228,3 +238,29 @@
 	p.SetBackends(epoch, b)
 	return p.ConnectionShare("b000")
 }
+
+// TestTakenBackServersGetTasks guards against backend servers that stay unused, or uncounted,
+// after the evacuation of their failure domain has ended.
+func TestTakenBackServersGetTasks(t *testing.T) {
+	backends := testBackends(6)
+	p := newTestPlacer(backends)
+	all := p.AcceptingSlots(epoch)
+	p.SetEvacuated(epoch, []identifier.FailureDomain{"d0", "d1", "d2"})
+	if n := p.AcceptingSlots(epoch); n != 0 {
+		t.Errorf("%d slots accept work while all failure domains are evacuated", n)
+	}
+	task := testTasks(0, 1, Random{})
+	if !p.Fits(task[0]) || p.FitsOutsideEvacuations(task[0]) {
+		t.Error("a task that fits on evacuated backend servers alone is not told apart")
+	}
+	if placed := p.Place(epoch, task); len(placed) > 0 {
+		t.Errorf("a task was placed on %s", placed[0].Backend)
+	}
+	p.SetEvacuated(epoch, nil)
+	if n := p.AcceptingSlots(epoch); n != all {
+		t.Errorf("%d of %d slots accept work", n, all)
+	}
+	if len(p.Place(epoch, task)) != 1 || !p.FitsOutsideEvacuations(task[0]) {
+		t.Error("no task was placed after the evacuation")
+	}
+}
--- a/internal/profilekeeper/apply.go
+++ b/internal/profilekeeper/apply.go
@@ -55,6 +55,8 @@
 		return &BookFullError{Detail: fmt.Sprintf("it holds %d profiles", MaxProfiles)}
 	case len(b.Tokens) > MaxTokens:
 		return &BookFullError{Detail: fmt.Sprintf("it holds %d tokens in force", MaxTokens)}
+	case len(b.Evacuations) > MaxEvacuations:
+		return &BookFullError{Detail: fmt.Sprintf("it holds %d evacuated failure domains", MaxEvacuations)}
 	case size > MaxBookSize:
 		return &BookFullError{Detail: fmt.Sprintf("%d bytes are above the bound of %d", size, MaxBookSize)}
 	}
@@ -75,6 +77,10 @@
 		return b.tokenCreation(o)
 	case RetireToken:
 		return b.tokenRetirement(o)
+	case EvacuateDomain:
+		return b.evacuation(o)
+	case TakeBackDomain:
+		return b.takeBack(o)
 	}
 	return Change{}, &InvalidRequestError{Field: "operations", Problem: fmt.Sprintf("hold an unknown %T", o)}
 }
@@ -163,3 +169,23 @@
 	record.Retired = true
 	return Change{Kind: TokenRetired, Token: &record}, nil
 }
+
+// maxDomainLength bounds the name of a failure domain, in bytes.
+const maxDomainLength = 100
+
+func (b Book) evacuation(o EvacuateDomain) (Change, error) {
+	if o.Domain == "" || len(o.Domain) > maxDomainLength {
+		return Change{}, &InvalidRequestError{Field: "domain", Problem: "is empty or too long"}
+	}
+	if i, known := b.evacuationIndex(o.Domain); known {
+		return Change{}, &ExistsError{Subject: "the evacuation of " + string(o.Domain), Version: b.Evacuations[i].Version}
+	}
+	return Change{Kind: DomainEvacuated, Domain: o.Domain}, nil
+}
+
+func (b Book) takeBack(o TakeBackDomain) (Change, error) {
+	if _, known := b.evacuationIndex(o.Domain); !known {
+		return Change{}, &NotFoundError{Subject: "an evacuation of " + string(o.Domain)}
+	}
+	return Change{Kind: DomainTakenBack, Domain: o.Domain}, nil
+}
--- a/internal/profilekeeper/book.go
+++ b/internal/profilekeeper/book.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/peppertrack/peppertrack/internal/authenticator"
 	"github.com/peppertrack/peppertrack/internal/identifier"
@@ -22,6 +23,7 @@
 	MaxHistory        = 500       // changes
 	MaxHistoryBytes   = 200_000   // encoded changes
 	MaxRecentRequests = 1_000     // requests
+	MaxEvacuations    = 100       // failure domains
 )
 
 // Book holds every profile and token, and the most recent changes. It is
@@ -35,6 +37,15 @@
 	ChainBeforeChanges Chain                     `cbor:"6,keyasint" json:"before"`   // chain just before the first of Changes
 	HistoryBytes       int                       `cbor:"7,keyasint" json:"bytes"`    // encoded size of Changes
 	RecentRequests     []RecentRequest           `cbor:"8,keyasint" json:"recent"`   // the newest ones, by version
+	// Evacuations are the failure domains whose backend servers get no new tasks, by name.
+	Evacuations []Evacuation `cbor:"9,keyasint,omitempty" json:"evacuations,omitempty"`
+}
+
+// Evacuation says that a failure domain is evacuated since a version of the book.
+type Evacuation struct {
+	Domain  identifier.FailureDomain  `cbor:"1,keyasint" json:"domain"`
+	Version identifier.ProfileVersion `cbor:"2,keyasint" json:"version"`
+	At      time.Time                 `cbor:"3,keyasint" json:"at"`
 }
 
 // Entry is a profile with the version of the book in which it last changed.
@@ -116,6 +127,12 @@
 	if c.Token != nil {
 		b.Tokens = b.withToken(*c.Token)
 	}
+	switch c.Kind {
+	case DomainEvacuated:
+		b.Evacuations = b.withEvacuation(Evacuation{Domain: c.Domain, Version: c.Version, At: c.At})
+	case DomainTakenBack:
+		b.Evacuations = slices.DeleteFunc(slices.Clone(b.Evacuations), func(e Evacuation) bool { return e.Domain == c.Domain })
+	}
 	b.RecentRequests = b.withRecentRequest(c)
 	b.Changes = append(slices.Clip(b.Changes), c)
 	b.HistoryBytes += len(encodeChange(c))
@@ -123,6 +140,29 @@
 	return b
 }
 
+// EvacuatedDomains returns the evacuated failure domains, by name.
+func (b Book) EvacuatedDomains() []identifier.FailureDomain {
+	domains := make([]identifier.FailureDomain, 0, len(b.Evacuations))
+	for _, e := range b.Evacuations {
+		domains = append(domains, e.Domain)
+	}
+	return domains
+}
+
+func (b Book) evacuationIndex(d identifier.FailureDomain) (int, bool) {
+	return slices.BinarySearchFunc(b.Evacuations, d, func(e Evacuation, d identifier.FailureDomain) int {
+		return cmp.Compare(e.Domain, d)
+	})
+}
+
+func (b Book) withEvacuation(e Evacuation) []Evacuation {
+	i, known := b.evacuationIndex(e.Domain)
+	if known {
+		return b.Evacuations
+	}
+	return slices.Insert(slices.Clone(b.Evacuations), i, e)
+}
+
 func (b Book) withProfile(e Entry) []Entry {
 	i, known := b.profileIndex(e.Profile.Name)
 	entries := slices.Clone(b.Profiles)
@@ -202,8 +242,8 @@
 // they are consecutive and start right after the book's version.
 func (b Book) withPeerChanges(changes []Change) (Book, error) {
 	for _, c := range changes {
-		if c.Version != b.Version+1 || (c.Profile == nil && c.Token == nil) {
-			return b, &InvalidRequestError{Field: "changes", Problem: "must have consecutive versions and a profile or token each"}
+		if c.Version != b.Version+1 || !c.valid() {
+			return b, &InvalidRequestError{Field: "changes", Problem: "must have consecutive versions and a profile, token or failure domain each"}
 		}
 		b = b.withChange(c)
 	}
--- a/internal/profilekeeper/codec.go
+++ b/internal/profilekeeper/codec.go
@@ -90,7 +90,7 @@
 // the profiles are ordered by name, and the history leads to the book's version
 // and chain.
 func (b Book) Verify() error {
-	if len(b.Profiles) > MaxProfiles || len(b.Tokens) > MaxTokens || len(b.Changes) > MaxHistory || len(b.RecentRequests) > MaxRecentRequests {
+	if len(b.Profiles) > MaxProfiles || len(b.Tokens) > MaxTokens || len(b.Changes) > MaxHistory || len(b.RecentRequests) > MaxRecentRequests || len(b.Evacuations) > MaxEvacuations {
 		return errors.New("a table is above its bound")
 	}
 	sorted := slices.IsSortedFunc(b.Profiles, func(x, y Entry) int {
--- a/internal/profilekeeper/operation.go
+++ b/internal/profilekeeper/operation.go
@@ -7,7 +7,7 @@
 )
 
 // Operation is one operation of a request: CreateProfile, ChangeProfile,
-// RetireProfile, CreateToken or RetireToken.
+// RetireProfile, CreateToken, RetireToken, EvacuateDomain or TakeBackDomain.
 type Operation interface{ isOperation() }
 
 // CreateProfile creates a profile. Reusing the name of a retired profile requires
@@ -35,11 +35,19 @@
 // RetireToken retires a token.
 type RetireToken struct{ ID authenticator.TokenID }
 
-func (CreateProfile) isOperation() {}
-func (ChangeProfile) isOperation() {}
-func (RetireProfile) isOperation() {}
-func (CreateToken) isOperation()   {}
-func (RetireToken) isOperation()   {}
+// EvacuateDomain keeps new tasks from the backend servers of a failure domain.
+type EvacuateDomain struct{ Domain identifier.FailureDomain }
+
+// TakeBackDomain ends the evacuation of a failure domain.
+type TakeBackDomain struct{ Domain identifier.FailureDomain }
+
+func (CreateProfile) isOperation()  {}
+func (ChangeProfile) isOperation()  {}
+func (RetireProfile) isOperation()  {}
+func (CreateToken) isOperation()    {}
+func (RetireToken) isOperation()    {}
+func (EvacuateDomain) isOperation() {}
+func (TakeBackDomain) isOperation() {}
 
 // operationKind returns the number that stands for the operation's type in the
 // hash of a request.
@@ -55,6 +63,10 @@
 		return 4
 	case RetireToken:
 		return 5
+	case EvacuateDomain:
+		return 6
+	case TakeBackDomain:
+		return 7
 	}
 	return 0
 }
--- a/internal/runner/profiles.go
+++ b/internal/runner/profiles.go
@@ -50,6 +50,6 @@
 	for _, entry := range book.Profiles {
 		byName[entry.Profile.Name] = entry.Profile
 	}
-	r.dispatchQueue.put(dispatcher.ProfilesAdopted{Profiles: byName})
-	_ = r.opts.Logger.Log("level", "info", "msg", "profiles in force", "version", book.Version)
+	r.dispatchQueue.put(dispatcher.ProfilesAdopted{Profiles: byName, Evacuated: book.EvacuatedDomains()})
+	_ = r.opts.Logger.Log("level", "info", "msg", "profiles in force", "version", book.Version, "evacuated", book.EvacuatedDomains())
 }
