feat(repeater): return tasks without room, start late ones last, refuse overdue jobs

Cause: near full load all free room of a load report turns over before it is read, so that the tasks of all homes queue at one owner while others have room; and queues in the order of objectives serve what is late before what could be on time, until all are late.

Change: an owner that can't start a task at once returns it, and the home looks again, twice at most. Tasks of jobs that will be late start after all others; once the objective has passed they are returned, and a job of which nothing can have run is refused; the rest of a begun job goes first after a grace as long as the objective. `peppertrackd platform --by-reports-alone` switches this off.

Ruled out by the same test loads: largest first, reserving for several tasks, admission by mean waits, late last within a priority (docs/design/shortage.md).

--- a/cmd/peppertrackd/internal/cmd/platformcmd.go
+++ b/cmd/peppertrackd/internal/cmd/platformcmd.go
@@ -10,7 +10,8 @@
 )
 
 func newPlatformCmd() *cobra.Command {
-	return &cobra.Command{
+	var opts platform.Options
+	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Run the daemon of one entry VM on the users' platform",
 		Long: `platform serves callers of the users' platform, in front of its backend servers.
@@ -26,7 +27,10 @@
 			if path == "" {
 				return errors.Newf("%s is not set", platform.SettingsVariable)
 			}
-			return platform.Run(path, cmd.OutOrStdout())
+			return platform.Run(path, opts, cmd.OutOrStdout())
 		},
 	}
+	cmd.Flags().BoolVar(&opts.ByReportsAlone, "by-reports-alone", false,
+		"share scarce room by load reports alone: return no tasks to their homes, and start late ones in their usual place")
+	return cmd
 }
--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -13,6 +13,7 @@
 func (s *Server) run() {
 	m := repeater.New(time.Now(), repeater.Options{
 		Self: s.opts.Self, Domain: s.opts.Domain, Weight: s.opts.Weight, Bounds: s.opts.Bounds,
+		ReturnTasks: !s.opts.ByReportsAlone, LateTasksLast: !s.opts.ByReportsAlone,
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/jobserver/options.go
+++ b/internal/jobserver/options.go
@@ -21,7 +21,10 @@
 	// ReadRoutes makes the caller read the routes in the store again and report them
 	// with SetRoutes and ConfirmRoutes. It must not block. It may be nil.
 	ReadRoutes func()
-	Logger     log.Logger
+	// ByReportsAlone makes VMs share room by their load reports alone: owners return no
+	// tasks, and start late ones in their usual place.
+	ByReportsAlone bool
+	Logger         log.Logger
 }
 
 const (
--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -20,6 +20,11 @@
 	StoppedRuns int                    `cbor:"10,keyasint"` // earlier runs of the task that were stopped or lost, for any reason
 
 	Alone bool `cbor:"11,keyasint,omitempty"` // only on a server that runs nothing else
+
+	Returns int `cbor:"12,keyasint,omitempty"` // how often owners have returned it for want of room
+	// Grace is set once an owner has returned the task because the objective has passed. For
+	// this long after the objective it comes after all other tasks, and then before them.
+	Grace time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // TaskPlaced tells the home of a job that a server has started a run.
--- a/internal/repeater/counters.go
+++ b/internal/repeater/counters.go
@@ -24,8 +24,10 @@
 	Stalled        uint64 `json:"stalled"` // lagging runs that were stopped
 	Pauses         uint64 `json:"pauses"`  // of this VM
 	RoutesVersion  uint64 `json:"routesVersion"`
-	Evacuations    uint64 `json:"evacuations"` // of failure domains, learned of
-	TasksMoved     uint64 `json:"tasksMoved"`  // returned to their homes because of evacuations
+	TasksReturned  uint64 `json:"tasksReturned"` // to their homes, for want of room
+	TasksOverdue   uint64 `json:"tasksOverdue"`  // returned because their job's objective had passed
+	Evacuations    uint64 `json:"evacuations"`   // of failure domains, learned of
+	TasksMoved     uint64 `json:"tasksMoved"`    // returned to their homes because of evacuations
 	Evacuated      int    `json:"evacuatedDomains"`
 	ColdServers    int    `json:"coldServers"` // own ones that are slow after their start
 	Queue          int    `json:"queue"`
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -96,6 +96,9 @@
 		openTasks:   e.Job.Tasks,
 		jobRun:      m.newJobRun(),
 	}
+	if j.objective() <= 0 {
+		j.objectiveAt = j.deadline // its route states none
+	}
 	for i := range j.tasks {
 		j.tasks[i].runNumber = 1
 	}
@@ -133,7 +136,7 @@
 	}
 	msg := peermessenger.RunTask{
 		Run: j.ref(index), Pool: j.Route.Pool, Spec: j.Spec, Millicores: j.Cores, Memory: j.Memory, Estimate: j.Estimate,
-		Priority: j.Route.Priority, Objective: j.objectiveAt.Sub(m.now), Avoid: t.avoid, StoppedRuns: t.stoppedRuns, Alone: to.alone,
+		Priority: j.Route.Priority, Objective: j.objectiveAt.Sub(m.now), Avoid: t.avoid, StoppedRuns: t.stoppedRuns, Alone: to.alone, Returns: t.returns, Grace: j.graceOf(t),
 	}
 	m.sendMessage(to.owner, msg)
 }
@@ -198,6 +201,7 @@
 		return
 	}
 	m.releasePending(j, t)
+	j.mayHaveRun = true
 	t.state, t.owner, t.backend = taskPlaced, from, msg.Backend
 	if known := m.owners[msg.Backend]; known.token > msg.Token && known.owner != from {
 		m.claimRuns(known.owner, msg.Backend) // the server already has a later owner
@@ -228,6 +232,7 @@
 			p.view[msg.Backend] = v
 		}
 	}
+	j.mayHaveRun = j.mayHaveRun || msg.Ending != peermessenger.RunNotStarted
 	index := int(msg.Run.Task.Index)
 	switch msg.Ending {
 	case peermessenger.RunDone:
@@ -249,6 +254,15 @@
 	case peermessenger.RunRejected:
 		m.finishJob(j, Failed{Cause: "a backend server rejects a task as invalid: " + msg.Cause})
 	case peermessenger.RunStopped, peermessenger.RunNotStarted:
+		switch msg.Cause {
+		case causeNoRoom:
+			t.returns++
+			m.rerunTask(j, index, 1)
+			return
+		case causeOverdue:
+			m.handleOverdueTask(j, t)
+			return
+		}
 		m.logDecision("runAgain", "job", j.ID, "task", index, "run", t.runNumber, "backend", msg.Backend, "ending", msg.Ending, "cause", msg.Cause)
 		if msg.Ending == peermessenger.RunStopped {
 			t.avoid = appendUnique(t.avoid, msg.Backend)
@@ -317,6 +331,8 @@
 		m.counters.Lost++
 	case TimedOut:
 		m.counters.TimedOut++
+	case Refused:
+		m.counters.Refused++
 	}
 	m.logOutcome(j, o)
 	for _, r := range j.requests {
@@ -404,6 +420,7 @@
 				continue
 			}
 			m.releasePending(j, t)
+			j.mayHaveRun = true
 			t.state = taskOrphaned
 			t.restartAt = later(heard, t.sentAt).Add(reportInterval + orphanBound)
 			if m.opts.defects.skipOrphanWait {
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -36,7 +36,9 @@
 	state           taskState
 	runNumber       identifier.RunNumber // of the latest run
 	failures        int
-	stoppedRuns     int // earlier runs of the task that were stopped or lost
+	returns         int  // by owners, for want of room
+	overdue         bool // its owner has returned it because the objective has passed
+	stoppedRuns     int  // earlier runs of the task that were stopped or lost
 	owner           identifier.Member
 	intendedBackend identifier.BackendID // the server that seemed to have room when the task was sent
 	backend         identifier.BackendID // the server that has started it, or may have; "": none
@@ -54,7 +56,8 @@
 	objectiveAt time.Time // when the job should end
 	deadline    time.Time
 	tasks       []task
-	openTasks   int // tasks that have not ended
+	openTasks   int  // tasks that have not ended
+	mayHaveRun  bool // a server may have started one of its tasks
 	jobRun      identifier.JobRun
 }
 
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -238,6 +238,7 @@
 	m.trackMinority()
 	m.reconcileOwnership()
 	m.tickServers()
+	m.returnOverdueTasks()
 	m.tickRoutes()
 	m.tickJobs()
 	m.serverUsable = m.anyServerUsable()
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -19,6 +19,12 @@
 	// contacts; 0 selects the default.
 	MaxFarContacts int
 
+	// ReturnTasks makes owners return tasks that they can't start at once, so that their
+	// homes look for room elsewhere.
+	ReturnTasks bool
+	// LateTasksLast makes owners start tasks of late jobs after all others.
+	LateTasksLast bool
+
 	defects defects
 }
 
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -16,7 +16,8 @@
 	objectiveAt   time.Time
 	arrived       time.Time
 	number        uint64
-	refusedStarts int // starts that the server refused
+	refusedStarts int  // starts that the server refused
+	ordered       bool // a server was told to start it
 }
 
 // maxRefusedStarts bounds the refused starts of one run at an owner. Then its
@@ -41,7 +42,7 @@
 
 func (m *Machine) enqueue(q *queuedTask) {
 	m.lastQueueNumber++
-	q.number = m.lastQueueNumber
+	q.number, q.ordered = m.lastQueueNumber, false
 	i, _ := slices.BinarySearchFunc(m.queue, q, func(a, b *queuedTask) int {
 		if a.before(b) {
 			return -1
@@ -78,6 +79,10 @@
 	if m.runsOfTask[msg.Run.Task] > 0 && m.joinOrReplaceRun(home, msg) {
 		return
 	}
+	if m.returnsTask(home, msg) {
+		m.returnTask(home, msg)
+		return
+	}
 	m.enqueue(&queuedTask{home: home, msg: msg, objectiveAt: m.now.Add(msg.Objective), arrived: m.now})
 }
 
@@ -123,7 +128,7 @@
 }
 
 // startQueuedTasks starts the queued tasks that a server has room for, in queue
-// order.
+// order within each class.
 func (m *Machine) startQueuedTasks() {
 	if len(m.queue) == 0 {
 		return
@@ -132,29 +137,51 @@
 	servers := m.startableServers(ids)
 	m.startTasksAlone(servers)
 	reserved := false
-	kept := m.queue[:0]
-	for _, q := range m.queue {
-		if m.runsOfTask[q.msg.Run.Task] > 0 || q.msg.Alone {
-			kept = append(kept, q)
-			continue
-		}
-		d := packer.Demand{Cores: q.msg.Millicores, Memory: q.msg.Memory}
-		i := packer.Pick(servers[q.msg.Pool], d, q.msg.Avoid)
-		if i < 0 {
-			if !reserved && m.now.Sub(q.arrived) > reserveAfter {
-				reserved = true
-				reserveServer(servers[q.msg.Pool], d)
+	for class := startFirst; class <= startLast; class++ {
+		for _, q := range m.queue {
+			if q.ordered || m.startClassOf(q) != class || q.msg.Alone || m.runsOfTask[q.msg.Run.Task] > 0 {
+				continue
 			}
-			kept = append(kept, q)
-			continue
+			d := packer.Demand{Cores: q.msg.Millicores, Memory: q.msg.Memory}
+			i := packer.Pick(servers[q.msg.Pool], d, q.msg.Avoid)
+			if i < 0 {
+				if !reserved && m.now.Sub(q.arrived) > reserveAfter {
+					reserved = true
+					reserveServer(servers[q.msg.Pool], d)
+				}
+				continue
+			}
+			s := &servers[q.msg.Pool][i]
+			s.Free -= d.Cores
+			s.FreeMem -= d.Memory
+			m.startRun(m.owned[s.ID], q)
 		}
-		s := &servers[q.msg.Pool][i]
-		s.Free -= d.Cores
-		s.FreeMem -= d.Memory
-		m.startRun(m.owned[s.ID], q)
 	}
-	clear(m.queue[len(kept):])
-	m.queue = kept
+	m.queue = slices.DeleteFunc(m.queue, func(q *queuedTask) bool { return q.ordered })
+}
+
+// startClass groups queued tasks by whether their jobs can still be on time.
+type startClass uint8
+
+const (
+	startFirst startClass = iota // the rest of a job that has begun, and is late by more than its grace
+	startInOrder
+	startLast // the job will be late
+)
+
+// startClassOf returns when a task starts in relation to the others. In a shortage, tasks
+// that are late would otherwise keep those that come after them from being on time, and soon
+// all are late.
+func (m *Machine) startClassOf(q *queuedTask) startClass {
+	switch {
+	case !m.opts.LateTasksLast:
+		return startInOrder
+	case q.msg.Grace > 0 && m.now.After(q.objectiveAt.Add(q.msg.Grace)):
+		return startFirst
+	case q.msg.Grace > 0 || m.now.Add(q.msg.Estimate).After(q.objectiveAt):
+		return startLast
+	}
+	return startInOrder
 }
 
 // startableServers returns the servers that can start a run now, by pool.
@@ -188,6 +215,7 @@
 // startRun tells a server to start a queued task.
 func (m *Machine) startRun(o *ownedServer, q *queuedTask) {
 	m.counters.Starts++
+	q.ordered = true
 	r := &run{ref: q.msg.Run, home: q.home, msg: q.msg, state: runStarting, knownSince: m.now, stoppedRuns: q.msg.StoppedRuns}
 	m.addRun(o, r)
 	id := m.registerCall(serverCall{server: o.ID, run: r.ref, queued: q})
--- a/internal/repeater/simjob_test.go
+++ b/internal/repeater/simjob_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/router"
 )
 
 // simJob is a caller's job. The caller submits it again as the platform's
@@ -27,6 +28,8 @@
 	outcome     string
 	firstSentAt time.Time
 	firstVM     int
+	sticky      bool // its first attempt goes to firstVM
+	route       int  // its index in simConfig.routes, if there are any
 	endedAt     time.Time
 }
 
@@ -40,11 +43,15 @@
 }
 
 func (sim *simulation) jobOf(t identifier.TaskRef) *simJob {
-	for _, j := range sim.jobs {
-		if j.id == t.Submission {
-			return j
+	if len(sim.jobsByID) < len(sim.jobs) {
+		sim.jobsByID = make(map[identifier.SubmissionID]*simJob, len(sim.jobs))
+		for _, j := range sim.jobs {
+			sim.jobsByID[j.id] = j
 		}
 	}
+	if j := sim.jobsByID[t.Submission]; j != nil {
+		return j
+	}
 	panic("no caller submitted task " + t.String())
 }
 
@@ -78,6 +85,9 @@
 	}
 	j.attempts++
 	vm := j.sim.vms[j.sim.rand.IntN(len(j.sim.vms))]
+	if j.sticky && j.attempts == 1 {
+		vm = j.sim.vms[j.firstVM]
+	}
 	if j.attempts == 1 {
 		j.firstVM = vm.index
 	}
@@ -94,7 +104,7 @@
 		estimate = j.estimate
 	}
 	vm.step(JobSubmitted{Request: a.request, Job: Job{
-		ID: j.id, Route: simRoute(), Version: 1, Spec: "spec", Tasks: j.tasks, Cores: j.cores, Memory: 64, Estimate: estimate, Budget: j.budget(),
+		ID: j.id, Route: j.routeOf(), Version: 1, Spec: "spec", Tasks: j.tasks, Cores: j.cores, Memory: 64, Estimate: estimate, Budget: j.budget(),
 	}})
 	j.sim.schedule(j.budget()+100*time.Millisecond, func() {
 		if a.ended {
@@ -109,6 +119,13 @@
 	})
 }
 
+func (j *simJob) routeOf() router.Route {
+	if len(j.sim.cfg.routes) == 0 {
+		return simRoute()
+	}
+	return j.sim.cfg.routes[j.route]
+}
+
 func (j *simJob) objective() time.Duration {
 	return time.Duration(1.6*float64(j.runTime)) + 60*time.Millisecond
 }
--- a/internal/repeater/simroutes_test.go
+++ b/internal/repeater/simroutes_test.go
@@ -48,6 +48,9 @@
 
 func (r *simRoutes) table() *router.Table {
 	t := &router.Table{Version: r.version, Routes: []router.Route{simRoute()}}
+	if len(r.sim.cfg.routes) > 0 {
+		t.Routes = r.sim.cfg.routes
+	}
 	if r.sim.cfg.unguarded {
 		t.Unguarded = []identifier.PoolID{simPool}
 	}
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -22,6 +22,7 @@
 	vms       []*simVM
 	servers   []*simServer
 	jobs      []*simJob
+	jobsByID  map[identifier.SubmissionID]*simJob // filled as they are looked up
 	routes    *simRoutes
 	held      map[[2]int]*heldLink
 	cut       map[[2]int]bool // directed links between VMs that lose all messages
@@ -34,6 +35,7 @@
 	suspensions int
 
 	serversRevision uint64
+	sharesRoom      bool            // the VMs return tasks without room, and start late ones last: in every second history
 	evacuations     *simEvacuations // nil: there are none
 	cutFromStore    map[int]bool    // VMs
 	lostTwice       int             // crashes of servers with a task that crashes none and was lost so before
@@ -55,9 +57,11 @@
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
 
-	evacuations   bool // failure domains may be evacuated
-	unguarded     bool // servers start what they are told to, also beyond their capacity
-	silentCrashes bool // crashed servers are silent instead of refusing connections
+	options       func(*Options) // changes the options of the VMs; nil: none
+	routes        []router.Route // of the callers; none: one
+	evacuations   bool           // failure domains may be evacuated
+	unguarded     bool           // servers start what they are told to, also beyond their capacity
+	silentCrashes bool           // crashed servers are silent instead of refusing connections
 
 	linksHold time.Duration // links hold the messages of a cut up to this time; 0: they lose them
 	defect    defect
@@ -113,6 +117,7 @@
 		dropped: make(map[[2]int]bool),
 
 		serversRevision: 1,
+		sharesRoom:      seed%2 == 1,
 		cutFromStore:    make(map[int]bool),
 	}
 	sim.routes = newSimRoutes(sim, seed)
--- a/internal/repeater/simvm_test.go
+++ b/internal/repeater/simvm_test.go
@@ -36,9 +36,13 @@
 		VM:          vmID(vm.index),
 		Incarnation: identifier.Incarnation(sim.now.UnixMilli()),
 	}
-	vm.machine = New(sim.now, Options{Self: vm.member, Domain: sim.domain(vm.index), Weight: simWeight, Bounds: Bounds{
+	opts := Options{Self: vm.member, Domain: sim.domain(vm.index), Weight: simWeight, Bounds: Bounds{
 		LongestLease: simLease, ResendDelay: simResendDelay,
-	}, MaxNeighborhood: sim.cfg.neighborhood, MaxFarContacts: sim.cfg.farContacts, defects: sim.cfg.defect.machineDefects()})
+	}, MaxNeighborhood: sim.cfg.neighborhood, MaxFarContacts: sim.cfg.farContacts, ReturnTasks: sim.sharesRoom, LateTasksLast: sim.sharesRoom, defects: sim.cfg.defect.machineDefects()}
+	if sim.cfg.options != nil {
+		sim.cfg.options(&opts)
+	}
+	vm.machine = New(sim.now, opts)
 	vm.lastStepAt = sim.now
 	vm.requests = make(map[RequestID]*simAttempt)
 	vm.keeps = KeepLinks{All: true}
