fix(repeater): start the rest of a begun job in time before its caller leaves

Cause: the rest of a late job that has begun went first once it was late by as much as its objective.

Change: the grace lasts as long as the task can still end before its caller leaves, with twice its estimate and 400 ms to spare.

--- a/internal/repeater/returns.go
+++ b/internal/repeater/returns.go
@@ -81,12 +81,21 @@
 	}
 }
 
-// graceOf returns the grace of a task: once it is overdue, as long as the job's objective.
+// graceReserve is how many times a task's estimate is left for it before its caller leaves
+// when its grace ends: estimates are off by 40%, and some servers are slower than others.
+// graceSlack is left besides, for the time until a server has room.
+const (
+	graceReserve = 2
+	graceSlack   = 400 * time.Millisecond
+)
+
+// graceOf returns the grace of a task: once it is overdue, as long as it can still end before
+// the caller leaves if it starts then.
 func (j *openJob) graceOf(t *task) time.Duration {
 	if !t.overdue {
 		return 0
 	}
-	return j.objective()
+	return max(j.deadline.Sub(j.objectiveAt)-graceReserve*j.Estimate-graceSlack, time.Millisecond)
 }
 
 // overdueRecheck is how long a home waits for the other tasks of a job before it sends one
