feat(pairmeter): keep tasks apart that slow each other down

Change: owners measure which kinds run slower beside which others, told apart from slow servers, wrong estimates, long tasks and hot moments, and the packer prefers other servers for them.

The product's own dispatcher is not served.

--- a/cmd/peppertrackd/internal/cmd/platformcmd.go
+++ b/cmd/peppertrackd/internal/cmd/platformcmd.go
@@ -32,5 +32,7 @@
 	}
 	cmd.Flags().BoolVar(&opts.ByReportsAlone, "by-reports-alone", false,
 		"share scarce room by load reports alone: return no tasks to their homes, and start late ones in their usual place")
+	cmd.Flags().BoolVar(&opts.KeepPairsApart, "keep-pairs-apart", false,
+		"measure which routes' tasks slow each other down on one backend server, and prefer other servers for them")
 	return cmd
 }
--- a/internal/jobserver/loop.go
+++ b/internal/jobserver/loop.go
@@ -14,6 +14,7 @@
 	m := repeater.New(time.Now(), repeater.Options{
 		Self: s.opts.Self, Domain: s.opts.Domain, Weight: s.opts.Weight, Bounds: s.opts.Bounds,
 		ReturnTasks: !s.opts.ByReportsAlone, LateTasksLast: !s.opts.ByReportsAlone,
+		KeepPairsApart: s.opts.KeepPairsApart,
 	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/internal/jobserver/options.go
+++ b/internal/jobserver/options.go
@@ -24,6 +24,7 @@
 	// ByReportsAlone makes VMs share room by their load reports alone: owners return no
 	// tasks, and start late ones in their usual place.
 	ByReportsAlone bool
+	KeepPairsApart bool // as in repeater.Options
 	Logger         log.Logger
 }
 
--- a/internal/packer/packer.go
+++ b/internal/packer/packer.go
@@ -16,6 +16,7 @@
 	FreeMem            identifier.Mebibytes
 	OtherFailureDomain bool    // in another failure domain than this VM
 	OwnedByPeer        bool    // owned by another entry VM
+	Disturbance        float64 // added shares of run time by which the task and those that run there slow each other down
 	Slowness           float64 // run times on it relative to those on the whole fleet; 1 is typical
 }
 
@@ -42,7 +43,7 @@
 const peerCost = 16000
 
 // Pick returns the index of the server with the lowest cost: the cores that the
-// task leaves unused there, in millicores, plus the costs of a slow server, of
+// task leaves unused there, in millicores, plus the costs of a slow server, of tasks that disturb each other, of
 // another failure domain and of another owner. It returns -1 if the task fits on
 // no server outside avoid.
 func Pick(servers []Server, d Demand, avoid []identifier.BackendID) int {
@@ -51,7 +52,7 @@
 		if !s.Fits(d) || slices.Contains(avoid, s.ID) {
 			continue
 		}
-		cost := float64(s.Free-d.Cores) + slownessWeight*(s.Slowness-1)
+		cost := float64(s.Free-d.Cores) + slownessWeight*(s.Slowness-1+s.Disturbance)
 		if s.OtherFailureDomain {
 			cost += remoteCost
 		}
--- a/internal/peermessenger/runmessages.go
+++ b/internal/peermessenger/runmessages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/pairmeter"
 )
 
 // RunTask asks the owner of backend servers to run a task on one of them.
@@ -25,6 +26,8 @@
 	// Grace is set once an owner has returned the task because the objective has passed. For
 	// this long after the objective it comes after all other tasks, and then before them.
 	Grace time.Duration `cbor:"13,keyasint,omitempty"`
+
+	Kind pairmeter.Kind `cbor:"14,keyasint,omitempty"` // 0: the home doesn't measure pairs
 }
 
 // TaskPlaced tells the home of a job that a server has started a run.
@@ -133,6 +136,8 @@
 
 	ServersAge time.Duration `cbor:"11,keyasint,omitempty"` // since the store confirmed the sender's list of backend servers; 0: it has not
 
+	Pairs []pairmeter.Pair `cbor:"14,keyasint,omitempty"` // kinds of tasks that disturb each other, as the sender has measured
+
 	EvacuationsRevision uint64                     `cbor:"12,keyasint,omitempty"` // of Evacuated; 0: the sender knows of no evacuation
 	Evacuated           []identifier.FailureDomain `cbor:"13,keyasint,omitempty"` // failure domains whose servers get no new tasks
 
--- a/internal/repeater/counters.go
+++ b/internal/repeater/counters.go
@@ -28,6 +28,7 @@
 	TasksOverdue   uint64 `json:"tasksOverdue"`  // returned because their job's objective had passed
 	Evacuations    uint64 `json:"evacuations"`   // of failure domains, learned of
 	TasksMoved     uint64 `json:"tasksMoved"`    // returned to their homes because of evacuations
+	PairsApart     int    `json:"pairsApart"`    // kinds of tasks that this VM has found to disturb each other
 	Evacuated      int    `json:"evacuatedDomains"`
 	ColdServers    int    `json:"coldServers"` // own ones that are slow after their start
 	Queue          int    `json:"queue"`
@@ -42,6 +43,9 @@
 	if m.routes != nil {
 		c.RoutesVersion = uint64(m.routes.Version)
 	}
+	if m.pairs != nil {
+		c.PairsApart = len(m.pairs.found)
+	}
 	c.Evacuated = len(m.evacuations.Domains())
 	for _, o := range m.owned {
 		if o.coldLeft(m.now) > 0 {
--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -136,7 +136,7 @@
 	}
 	msg := peermessenger.RunTask{
 		Run: j.ref(index), Pool: j.Route.Pool, Spec: j.Spec, Millicores: j.Cores, Memory: j.Memory, Estimate: j.Estimate,
-		Priority: j.Route.Priority, Objective: j.objectiveAt.Sub(m.now), Avoid: t.avoid, StoppedRuns: t.stoppedRuns, Alone: to.alone, Returns: t.returns, Grace: j.graceOf(t),
+		Priority: j.Route.Priority, Objective: j.objectiveAt.Sub(m.now), Avoid: t.avoid, StoppedRuns: t.stoppedRuns, Alone: to.alone, Returns: t.returns, Grace: j.graceOf(t), Kind: m.taskKind(j),
 	}
 	m.sendMessage(to.owner, msg)
 }
--- a/internal/repeater/load_test.go
+++ b/internal/repeater/load_test.go
@@ -25,7 +25,12 @@
 	Speeds       []float64               `yaml:"speeds"` // of the servers in turn; none: 1
 	Length       time.Duration           `yaml:"length"`
 	Kinds        []loadKind              `yaml:"kinds"`
-	Domains      []float64               `yaml:"domains"` // shares of the callers; none: equal ones
+	Disturbance  struct {                // tasks of a kind that start beside one of another take longer
+		Kind   string  `yaml:"kind"`
+		Beside string  `yaml:"beside"`
+		Factor float64 `yaml:"factor"`
+	} `yaml:"disturbance"`
+	Domains []float64 `yaml:"domains"` // shares of the callers; none: equal ones
 }
 
 // loadKind is a kind of job. A job is on time if its last task ends within slack times its
@@ -94,7 +99,7 @@
 
 // play plays a load and returns the results by kind and by failure domain.
 func (l load) play(seed uint64, opts func(*Options)) (*simulation, map[string]*loadResult) {
-	sim := newSimulation(seed, simConfig{vms: l.VMs, servers: l.Servers, neighborhood: l.Neighborhood, options: opts, routes: l.routes()})
+	sim := newSimulation(seed, simConfig{vms: l.VMs, servers: l.Servers, neighborhood: l.Neighborhood, options: opts, routes: l.routes(), disturbance: l.disturbance()})
 	for i, s := range sim.servers {
 		s.Cores = l.Cores[i/3%len(l.Cores)] // the failure domains take turns
 		if len(l.Speeds) > 0 {
@@ -147,6 +152,19 @@
 	return routes
 }
 
+// disturbance returns the factor on the run time of a task that starts beside another.
+func (l load) disturbance() func(route, beside int) float64 {
+	if l.Disturbance.Factor == 0 {
+		return nil
+	}
+	return func(route, beside int) float64 {
+		if l.Kinds[route].Name == l.Disturbance.Kind && l.Kinds[beside].Name == l.Disturbance.Beside {
+			return l.Disturbance.Factor
+		}
+		return 1
+	}
+}
+
 // pickVM returns a VM in a failure domain chosen by the domains' shares of the callers.
 func (l load) pickVM(sim *simulation) int {
 	vm := sim.rand.IntN(l.VMs)
--- a/internal/repeater/machine.go
+++ b/internal/repeater/machine.go
@@ -6,6 +6,7 @@
 	"github.com/peppertrack/peppertrack/internal/crashcounter"
 	"github.com/peppertrack/peppertrack/internal/evacuator"
 	"github.com/peppertrack/peppertrack/internal/identifier"
+	"github.com/peppertrack/peppertrack/internal/pairmeter"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 	"github.com/peppertrack/peppertrack/internal/router"
 )
@@ -73,6 +74,7 @@
 	assignmentInput  assignmentInput
 	assignedIDs      []identifier.BackendID // the servers in assignments, sorted
 
+	pairs  *pairTracker          // nil: pairs that disturb each other are not measured
 	losses *crashcounter.Counter // of runs, on the servers of all VMs
 
 	minoritySince time.Time // zero: this VM hears a majority
@@ -96,7 +98,7 @@
 
 // New returns a Machine that knows no peers, routes or servers.
 func New(now time.Time, opts Options) *Machine {
-	return &Machine{
+	m := &Machine{
 		domainParts:      1,
 		unheardWeight:    make([]int, 1),
 		keptLinks:        KeepLinks{All: true},
@@ -118,6 +120,10 @@
 		formerRuns:       make(map[identifier.RunRef]formerRun),
 		losses:           crashcounter.New(),
 	}
+	if opts.KeepPairsApart {
+		m.pairs = &pairTracker{meter: pairmeter.New()}
+	}
+	return m
 }
 
 // Step handles an event. The effects are valid until the next call.
@@ -239,6 +245,7 @@
 	m.reconcileOwnership()
 	m.tickServers()
 	m.returnOverdueTasks()
+	m.searchPairs()
 	m.tickRoutes()
 	m.tickJobs()
 	m.serverUsable = m.anyServerUsable()
--- a/internal/repeater/options.go
+++ b/internal/repeater/options.go
@@ -24,6 +24,9 @@
 	ReturnTasks bool
 	// LateTasksLast makes owners start tasks of late jobs after all others.
 	LateTasksLast bool
+	// KeepPairsApart makes owners measure which kinds of tasks slow each other down on one
+	// server, and prefer other servers for them.
+	KeepPairsApart bool
 
 	defects defects
 }
--- a/internal/repeater/ownedserver.go
+++ b/internal/repeater/ownedserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
 	"github.com/peppertrack/peppertrack/internal/pacer"
+	"github.com/peppertrack/peppertrack/internal/pairmeter"
 	"github.com/peppertrack/peppertrack/internal/peermessenger"
 )
 
@@ -98,7 +99,8 @@
 	unansweredAt   time.Time // when its start timed out; zero: it did not
 	mayBeRerun     bool      // its home may start the task on another server at any time
 	progress       float64
-	stoppedRuns    int // earlier runs of the task that were stopped or lost
+	stoppedRuns    int                              // earlier runs of the task that were stopped or lost
+	beside         map[pairmeter.Kind]time.Duration // for how long runs that have left the server ran beside it
 }
 
 // startUnanswered reports whether the run's start timed out, so that it may not be at
@@ -209,6 +211,7 @@
 	}
 	delete(o.runs, r.ref.OnServer())
 	m.uncountRun(r)
+	m.addOverlap(o, r)
 }
 
 func (m *Machine) uncountRun(r *run) {
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -205,6 +205,9 @@
 	p.queued, p.unplacedWork, p.routesVersion, p.serversRevision = r.Queued, 0, r.RoutesVersion, r.ServersRevision
 	p.isolating = r.Isolating
 	m.learnEvacuations(r)
+	if m.pairs != nil {
+		m.pairs.meter.Learn(m.now, r.Pairs)
+	}
 	if r.ServersAge > 0 {
 		m.peersServersAsOf = later(m.peersServersAsOf, m.now.Add(-r.ServersAge))
 	}
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -143,6 +143,7 @@
 				continue
 			}
 			d := packer.Demand{Cores: q.msg.Millicores, Memory: q.msg.Memory}
+			m.setDisturbance(servers[q.msg.Pool], q.msg.Kind)
 			i := packer.Pick(servers[q.msg.Pool], d, q.msg.Avoid)
 			if i < 0 {
 				if !reserved && m.now.Sub(q.arrived) > reserveAfter {
--- a/internal/repeater/report.go
+++ b/internal/repeater/report.go
@@ -87,6 +87,9 @@
 	if l, ok := m.evacuations.Told(); ok {
 		r.EvacuationsRevision, r.Evacuated = l.Revision, l.Domains
 	}
+	if m.pairs != nil {
+		r.Pairs = m.pairs.found
+	}
 	if m.routes != nil {
 		r.RoutesVersion = uint64(m.routes.Version)
 	}
--- a/internal/repeater/routing.go
+++ b/internal/repeater/routing.go
@@ -94,6 +94,9 @@
 	}
 	m.routes = t
 	m.routesChangedAt = m.now
+	if m.pairs != nil {
+		m.pairs.nameKinds(t)
+	}
 	m.reportChanged = true
 	m.logDecision("routesInForce", "version", t.Version, "routes", len(t.Routes))
 }
--- a/internal/repeater/simserver_test.go
+++ b/internal/repeater/simserver_test.go
@@ -184,6 +184,11 @@
 	if s.slowness > 0 {
 		r.runTime = time.Duration(float64(r.runTime) * s.slowness)
 	}
+	if disturbance := s.sim.cfg.disturbance; disturbance != nil {
+		for _, other := range s.runs {
+			r.runTime = time.Duration(float64(r.runTime) * disturbance(s.sim.jobOf(r.ref.Task).route, s.sim.jobOf(other.ref.Task).route))
+		}
+	}
 	s.runs[call.Run] = r
 	s.sim.checkStart(s, r)
 	if s.sim.cfg.unguarded {
--- a/internal/repeater/simulation_test.go
+++ b/internal/repeater/simulation_test.go
@@ -57,11 +57,12 @@
 	routeChanges  int // of the operator, and pauses among them
 	routeRequests int // whose route is decided
 
-	options       func(*Options) // changes the options of the VMs; nil: none
-	routes        []router.Route // of the callers; none: one
-	evacuations   bool           // failure domains may be evacuated
-	unguarded     bool           // servers start what they are told to, also beyond their capacity
-	silentCrashes bool           // crashed servers are silent instead of refusing connections
+	options       func(*Options)                  // changes the options of the VMs; nil: none
+	routes        []router.Route                  // of the callers; none: one
+	disturbance   func(route, beside int) float64 // factor on the run time of a task that starts beside one of another route; nil: none
+	evacuations   bool                            // failure domains may be evacuated
+	unguarded     bool                            // servers start what they are told to, also beyond their capacity
+	silentCrashes bool                            // crashed servers are silent instead of refusing connections
 
 	linksHold time.Duration // links hold the messages of a cut up to this time; 0: they lose them
 	defect    defect
--- a/internal/repeater/slowdown.go
+++ b/internal/repeater/slowdown.go
@@ -51,6 +51,7 @@
 	}
 	// The time of messages and calls is not counted against a server that runs short tasks.
 	elapsed, estimate := m.now.Sub(r.startedAt), r.msg.Estimate+networkAllowance
+	m.observePairs(o, r, elapsed, estimate)
 	o.pace.Observe(elapsed, estimate)
 	usual := m.usualPace()
 	if float64(elapsed) <= usualPaceFactor*max(usual, o.pace.Pace())*float64(estimate) {
