fix(repeater): keep a task that a server has room for

Cause: an owner returned a task whenever one before it in the queue waited, also if a server had room for this one and for none before it.

Change: a task is returned only if no server has room for it; the queue's order and the reservation for waiting tasks decide the rest, as before.

--- a/internal/repeater/returns.go
+++ b/internal/repeater/returns.go
@@ -32,12 +32,6 @@
 	if !m.opts.ReturnTasks || msg.Alone || msg.Returns >= maxReturns || home == m.opts.Self && !m.anyPeerServing() {
 		return false
 	}
-	q := &queuedTask{msg: msg, objectiveAt: m.now.Add(msg.Objective)}
-	for _, other := range m.queue {
-		if other.before(q) && other.msg.Pool == msg.Pool {
-			return true
-		}
-	}
 	servers := m.startableServers(m.ownedIDs())
 	return packer.Pick(servers[msg.Pool], packer.Demand{Cores: msg.Millicores, Memory: msg.Memory}, msg.Avoid) < 0
 }
