perf(repeater): return tasks without a load report

Cause: each returned task brought the owner's load report to a neighbor.

Change: the home itself counts the owner's servers as full for tasks of that size until the next report.

--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -256,8 +256,7 @@
 	case peermessenger.RunStopped, peermessenger.RunNotStarted:
 		switch msg.Cause {
 		case causeNoRoom:
-			t.returns++
-			m.rerunTask(j, index, 1)
+			m.handleReturnedTask(j, index, from)
 			return
 		case causeOverdue:
 			m.handleOverdueTask(j, t)
--- a/internal/repeater/peer.go
+++ b/internal/repeater/peer.go
@@ -42,7 +42,6 @@
 	routesVersion   uint64
 	serversRevision uint64
 	copySentAt      time.Time // when it was last sent a copy of the directory
-	returnReportAt  time.Time // when it was last sent a report beside a returned task
 	evacuationsTold uint64    // the revision of the list of evacuations that it was last told
 }
 
--- a/internal/repeater/returns.go
+++ b/internal/repeater/returns.go
@@ -12,17 +12,13 @@
 // A home chooses a server by its owner's latest load report. When a fleet is nearly full,
 // most of the free room in a report is taken by the time that it is read, and the tasks
 // that all homes send after it wait at one owner while others have room. An owner that can't
-// start a task at once therefore returns it, with its present load, and the home looks
-// again. After maxReturns the task waits where it is.
+// start a task at once therefore returns it, and the home looks
+// again, elsewhere until the next report. After maxReturns the task waits where it is.
 
 // maxReturns is how often a task is returned for want of room. A return costs about a
 // millisecond, and the shortest tasks can wait for tens of them.
 const maxReturns = 2
 
-// minReturnReportSpacing is the shortest time between two load reports that a VM sends to a
-// neighbor beside returned tasks: about the time in which one of its servers ends a task.
-const minReturnReportSpacing = 10 * time.Millisecond
-
 // causeNoRoom is the cause of tasks that an owner returns because others may have room.
 const causeNoRoom = "noRoom"
 
@@ -36,18 +32,27 @@
 	return packer.Pick(servers[msg.Pool], packer.Demand{Cores: msg.Millicores, Memory: msg.Memory}, msg.Avoid) < 0
 }
 
-// returnTask returns a task to its home, which hears of the present load first.
+// returnTask returns a task to its home.
 func (m *Machine) returnTask(home identifier.Member, msg peermessenger.RunTask) {
 	m.counters.TasksReturned++
 	m.logDecision("taskReturned", "job", msg.Run.Task.Submission, "task", msg.Run.Task.Index, "run", msg.Run.Number, "home", home.VM,
 		"cause", causeNoRoom, "returns", msg.Returns, "queued", len(m.queue))
-	if p := m.peers[home.VM]; p != nil && p.member == home && p.linked && p.near && m.now.Sub(p.returnReportAt) > minReturnReportSpacing {
-		p.returnReportAt = m.now
-		m.sendReport(p)
-	}
 	m.sendMessage(home, peermessenger.TaskEnded{Run: msg.Run, Ending: peermessenger.RunNotStarted, Cause: causeNoRoom})
 }
 
+// handleReturnedTask looks for room for a task that its owner has returned. The owner has
+// none for a task of this size, whatever it reported last.
+func (m *Machine) handleReturnedTask(j *openJob, index int, from identifier.Member) {
+	if p := m.peers[from.VM]; p != nil && p.member == from {
+		for id, v := range p.view {
+			v.free = min(v.free, j.Cores-1)
+			p.view[id] = v
+		}
+	}
+	j.tasks[index].returns++
+	m.rerunTask(j, index, 1)
+}
+
 // causeOverdue is the cause of tasks that an owner returns because their job's objective has
 // passed before they could start.
 const causeOverdue = "overdue"
@@ -80,7 +85,7 @@
 // graceSlack is left besides, for the time until a server has room.
 const (
 	graceReserve = 2
-	graceSlack   = 400 * time.Millisecond
+	graceSlack   = 600 * time.Millisecond
 )
 
 // graceOf returns the grace of a task: once it is overdue, as long as it can still end before
