--- a/internal/repeater/evacuation_test.go
+++ b/internal/repeater/evacuation_test.go
@@ -41,6 +41,7 @@
 // TestNoStartInEvacuatedDomain guards against tasks that are started in an evacuated
 // failure domain, in histories with restarts, cuts, pauses and late calls.
 func TestNoStartInEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	completed, jobs := 0, 0
 	for seed := *firstHistory; seed < *firstHistory+*histories/2; seed++ {
 		sim := simulateEvacuations(seed, int(seed%7), noDefect)
@@ -60,6 +61,7 @@
 // TestHistoriesCatchStartsInEvacuatedDomains checks that the histories show a VM that
 // follows the store alone, and one that sends tasks to evacuated servers.
 func TestHistoriesCatchStartsInEvacuatedDomains(t *testing.T) {
+	t.Parallel()
 	for _, d := range []defect{ignorePeersEvacuations, startEvacuated} {
 		caught := false
 		for seed := uint64(0); seed < 200 && !caught; seed++ {
@@ -74,6 +76,7 @@
 // TestEvacuationLosesNoAdmittedJob guards against jobs that fail, or run again from the
 // start, because their failure domain is evacuated.
 func TestEvacuationLosesNoAdmittedJob(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(0); seed < 60; seed += 3 { // those without late calls, for which runs are stopped, too
 		sim := simulateEvacuations(seed, 0, noDefect)
 		for _, j := range sim.jobs {
--- a/internal/repeater/load_test.go
+++ b/internal/repeater/load_test.go
@@ -270,6 +270,7 @@
 // a load that the servers can carry, 98 of 100 jobs of each kind are on time. By load
 // reports alone, fewer are.
 func TestTasksFindRoom(t *testing.T) {
+	t.Parallel()
 	l := findLoad(t, "moderate")
 	sim, results := l.playWith(t, nil)
 	for kind, r := range results {
@@ -289,6 +290,7 @@
 // their tasks got: with speeds of 0.7 and 1.7, no more are late than with equal servers of
 // the same sum. Three of a hundred tasks take seven times as long as estimated.
 func TestUnevenServersCostNothing(t *testing.T) {
+	t.Parallel()
 	l := findLoad(t, "uneven")
 	_, uneven := l.playWith(t, nil)
 	sum := 0.0
@@ -305,6 +307,7 @@
 // TestOverloadKeepsGoodput guards against a collapse when more work arrives than the servers
 // can do: at 120% load callers get as much on time as at 95%.
 func TestOverloadKeepsGoodput(t *testing.T) {
+	t.Parallel()
 	_, full := findLoad(t, "full").playWith(t, nil)
 	_, overload := findLoad(t, "overload").playWith(t, nil)
 	if overload["all"].goodput < full["all"].goodput {
@@ -317,6 +320,7 @@
 // leaves: a job that can't be on time is refused soon after its objective, or ends. More jobs
 // are on time than by load reports alone.
 func TestShortageStarvesNobody(t *testing.T) {
+	t.Parallel()
 	const maxRefusalDelay = 150 * time.Millisecond // a tick, a message and the time until the job is looked at again
 	l := findLoad(t, "shortage")
 	_, results := l.playWith(t, nil)
--- a/internal/repeater/pairs_test.go
+++ b/internal/repeater/pairs_test.go
@@ -15,6 +15,7 @@
 // TestDisturbedTasksAreKeptApart guards against tasks that are late because of what runs
 // beside them while other servers have room: with the part, at most half as many are.
 func TestDisturbedTasksAreKeptApart(t *testing.T) {
+	t.Parallel()
 	l := findLoad(t, "disturbing")
 	sim, with := l.playWith(t, keepPairsApart)
 	_, without := l.playWith(t, nil)
