--- a/internal/repeater/capacity_test.go
+++ b/internal/repeater/capacity_test.go
@@ -71,6 +71,26 @@
 	}
 }
 
+// TestNoStartOverCapacityInLaterHistories guards against starts beyond a capacity in three
+// histories that were found after the fault of the two tests above had been mended.
+func TestNoStartOverCapacityInLaterHistories(t *testing.T) {
+	for _, seed := range []uint64{6005, 6802, 8185} {
+		if sim := simulateCapacities(seed); len(sim.violations) > 0 {
+			t.Errorf("seed %d: %s", seed, strings.Join(sim.violations, "\n"))
+		}
+	}
+}
+
+// TestNoStartBeforeARestartedServerHasAnswered guards against starts by an owner that has
+// not heard yet that its server has restarted and forgotten its token, while another VM
+// starts runs there as well.
+func TestNoStartBeforeARestartedServerHasAnswered(t *testing.T) {
+	const twoOwnersOfARestartedServer = 35 // the seed of such a history
+	if sim := simulateCapacities(twoOwnersOfARestartedServer); len(sim.violations) > 0 {
+		t.Error(strings.Join(sim.violations, "\n"))
+	}
+}
+
 // TestUnclaimedRunLeavesNoRoom guards against a run of unknown demand that counts as the
 // capacity which its server had when the run was found.
 func TestUnclaimedRunLeavesNoRoom(t *testing.T) {
--- a/internal/repeater/poll.go
+++ b/internal/repeater/poll.go
@@ -358,7 +358,7 @@
 			continue
 		}
 		idle := m.now.Sub(o.clockAt) > idlePollInterval
-		if len(o.runs) > 0 || o.phase != phaseReady || o.unansweredCalls > 0 || !o.clockKnown || idle || len(o.pendingClaims) > 0 {
+		if len(o.runs) > 0 || o.phase != phaseReady || o.unansweredCalls > 0 || !o.clockKnown || idle || m.unguarded(o.Pool) && o.listsLaterProcess() || len(o.pendingClaims) > 0 {
 			m.poll(o)
 		}
 	}
