perf(repeater): return a task once, and share nothing with VMs that return it

Two VMs that share a task report to each other each 100 ms for 1.5 s after it, and a returned task made its home share with every owner that it met.

Change: a returned task leaves no such time behind, and is returned once instead of twice.

--- a/internal/repeater/home.go
+++ b/internal/repeater/home.go
@@ -130,6 +130,9 @@
 		return
 	}
 	t.state, t.owner, t.intendedBackend, t.backend, t.sentAt = taskSent, to.owner, to.backend, "", m.now
+	if p := m.peers[to.owner.VM]; p != nil {
+		t.sharedBefore = p.lastSharedAt
+	}
 	m.markSharing(to.owner)
 	if p := m.peers[to.owner.VM]; p != nil && p.member == to.owner {
 		p.recordSent(j.Job, to)
--- a/internal/repeater/job.go
+++ b/internal/repeater/job.go
@@ -44,6 +44,7 @@
 	backend         identifier.BackendID // the server that has started it, or may have; "": none
 	avoid           []identifier.BackendID
 	sentAt          time.Time // when it was sent to owner
+	sharedBefore    time.Time // when this VM last shared a task with owner before that
 	restartAt       time.Time // when orphaned: not rerun before
 	waitUntil       time.Time // when waiting: not sent to an owner before
 }
--- a/internal/repeater/queue.go
+++ b/internal/repeater/queue.go
@@ -56,7 +56,6 @@
 // acceptTask queues a task of a home, or answers at once that it can't run
 // here.
 func (m *Machine) acceptTask(home identifier.Member, msg peermessenger.RunTask) {
-	m.markSharing(home)
 	if e, ok := m.ended[msg.Run]; ok {
 		m.sendMessage(home, e.msg)
 		return
@@ -72,17 +71,20 @@
 	}
 	for _, q := range m.queue {
 		if q.msg.Run == msg.Run {
+			m.markSharing(home)
 			q.home = home // the job was submitted to another home
 			return
 		}
 	}
 	if m.runsOfTask[msg.Run.Task] > 0 && m.joinOrReplaceRun(home, msg) {
+		m.markSharing(home)
 		return
 	}
 	if m.returnsTask(home, msg) {
 		m.returnTask(home, msg)
 		return
 	}
+	m.markSharing(home)
 	m.enqueue(&queuedTask{home: home, msg: msg, objectiveAt: m.now.Add(msg.Objective), arrived: m.now})
 }
 
--- a/internal/repeater/returns.go
+++ b/internal/repeater/returns.go
@@ -15,9 +15,9 @@
 // start a task at once therefore returns it, and the home looks
 // again, elsewhere until the next report. After maxReturns the task waits where it is.
 
-// maxReturns is how often a task is returned for want of room. A return costs about a
-// millisecond, and the shortest tasks can wait for tens of them.
-const maxReturns = 2
+// maxReturns is how often a task is returned for want of room. Each return costs two VMs
+// about as much processor time as a start.
+const maxReturns = 1
 
 // causeNoRoom is the cause of tasks that an owner returns because others may have room.
 const causeNoRoom = "noRoom"
@@ -48,6 +48,9 @@
 			v.free = min(v.free, j.Cores-1)
 			p.view[id] = v
 		}
+		if t := &j.tasks[index]; p.lastSharedAt.Equal(t.sentAt) {
+			p.lastSharedAt = t.sharedBefore // the owner keeps nothing of the task
+		}
 	}
 	j.tasks[index].returns++
 	m.rerunTask(j, index, 1)
