refactor(evacuator): drop the times at which evacuations were learned

Cause: nothing read them, and whether a domain is evacuated was kept twice, in the list and in their map. Change: the list alone; Update needs no clock. Behaviour is the same. Evidence: the tests of evacuator and the evacuation tests of repeater pass with their assertions as they were.

--- a/internal/evacuator/state.go
+++ b/internal/evacuator/state.go
@@ -8,7 +8,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/peppertrack/peppertrack/internal/identifier"
 )
@@ -40,13 +39,12 @@
 // State is what one VM knows. Its zero value knows no list.
 type State struct {
 	list      List
-	since     map[identifier.FailureDomain]time.Time // when this VM learned of an evacuation
 	everInUse bool
 }
 
 // Update puts a list in force unless a newer one is, and returns what that changes.
 // Lists of one revision are equal, except that the store's own word wins.
-func (s *State) Update(now time.Time, l List, from Source) Change {
+func (s *State) Update(l List, from Source) Change {
 	if l.Revision < s.list.Revision || from == FromPeer && l.Revision == s.list.Revision {
 		return Change{}
 	}
@@ -63,31 +61,18 @@
 		}
 	}
 	s.list = List{Revision: l.Revision, Domains: next}
-	if s.since == nil {
-		s.since = make(map[identifier.FailureDomain]time.Time)
-	}
-	for _, d := range c.Evacuated {
-		s.since[d] = now
-	}
-	for _, d := range c.TakenBack {
-		delete(s.since, d)
-	}
 	s.everInUse = s.everInUse || len(next) > 0
 	return c
 }
 
 // Evacuated reports whether a failure domain is evacuated.
 func (s *State) Evacuated(d identifier.FailureDomain) bool {
-	_, ok := s.since[d]
-	return ok
+	return slices.Contains(s.list.Domains, d)
 }
 
 // Domains returns the evacuated failure domains, sorted. The caller must not change them.
 func (s *State) Domains() []identifier.FailureDomain { return s.list.Domains }
 
-// Since returns when this VM learned that a failure domain is evacuated.
-func (s *State) Since(d identifier.FailureDomain) time.Time { return s.since[d] }
-
 // Told returns the list to tell peers, and whether there is anything to tell. Where
 // nothing has been evacuated since this VM started, as far as it has heard, there is not.
 func (s *State) Told() (List, bool) { return s.list, s.everInUse }
--- a/internal/evacuator/state_test.go
+++ b/internal/evacuator/state_test.go
@@ -4,7 +4,6 @@
 	"os"
 	"slices"
 	"testing"
-	"time"
 
 	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
@@ -36,7 +35,7 @@
 		t.Run(h.Name, func(t *testing.T) {
 			var s State
 			for i, step := range h.Steps {
-				c := s.Update(time.Unix(int64(i), 0), List{Revision: step.Revision, Domains: step.Domains}, step.From)
+				c := s.Update(List{Revision: step.Revision, Domains: step.Domains}, step.From)
 				if !slices.Equal(c.Evacuated, step.Evacuated) || !slices.Equal(c.TakenBack, step.TakenBack) {
 					t.Errorf("step %d: got %+v", i, c)
 				}
@@ -54,12 +53,11 @@
 	domains := []identifier.FailureDomain{"a", "b", "c"}
 	rapid.Check(t, func(t *rapid.T) {
 		states := make([]State, rapid.IntRange(2, 5).Draw(t, "vms"))
-		now := time.Unix(1, 0)
 		stored := List{Revision: 1}
 		tell := func(from, to int) {
 			told, ok := states[from].Told()
 			if ok {
-				states[to].Update(now, told, FromPeer)
+				states[to].Update(told, FromPeer)
 				states[to].Outdates(told)
 			}
 		}
@@ -69,12 +67,12 @@
 				stored.Revision += uint64(rapid.IntRange(1, 3).Draw(t, "revisions"))
 				stored.Domains = rapid.SliceOfDistinct(rapid.SampledFrom(domains), func(d identifier.FailureDomain) identifier.FailureDomain { return d }).Draw(t, "domains")
 			case 1:
-				states[rapid.IntRange(0, len(states)-1).Draw(t, "vm")].Update(now, stored, FromStore)
+				states[rapid.IntRange(0, len(states)-1).Draw(t, "vm")].Update(stored, FromStore)
 			case 2:
 				tell(rapid.IntRange(0, len(states)-1).Draw(t, "from"), rapid.IntRange(0, len(states)-1).Draw(t, "to"))
 			}
 		}
-		states[0].Update(now, stored, FromStore)
+		states[0].Update(stored, FromStore)
 		for range 2 { // the second round reaches those that told an older list in the first
 			for from := range states {
 				for to := range states {
--- a/internal/repeater/evacuation.go
+++ b/internal/repeater/evacuation.go
@@ -26,7 +26,7 @@
 
 // changeEvacuations handles a list of evacuated failure domains.
 func (m *Machine) changeEvacuations(l evacuator.List, from evacuator.Source) {
-	c := m.evacuations.Update(m.now, l, from)
+	c := m.evacuations.Update(l, from)
 	if c.Empty() {
 		return
 	}
